--- /dev/null
+++ b/modules/platform/platform.h
@@ -0,0 +1,6 @@
+#pragma once
+
+/// Umbrella header of the platform module: ports of the platform's services and their adapters.
+#include "platform/instance_list.h"
+#include "platform/object_store.h"
+#include "platform/table_store.h"
