--- /dev/null
+++ b/modules/platform/platform.cpp
@@ -0,0 +1,1 @@
+#include "platform/platform.h"
--- /dev/null
+++ b/modules/standins/standins.cpp
@@ -0,0 +1,1 @@
+#include "standins/standins.h"
