--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -23,6 +23,8 @@
   target_link_libraries(${name} PRIVATE ${ARGN} PkgConfig::cpputest)
   target_compile_options(${name} PRIVATE -Wall -Wextra -Werror
                          -Wno-missing-field-initializers)
+  target_compile_definitions(${name}
+                             PRIVATE JUJUBEVALVE_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
   add_test(NAME ${name} COMMAND ${name} -c)
   set_tests_properties(${name} PROPERTIES TIMEOUT 120)
 endfunction()
--- a/modules/core/result_code.cpp
+++ b/modules/core/result_code.cpp
@@ -76,6 +76,11 @@
     return found == table.end() ? unlisted : *found;
 }
 
+std::span<const result_info> all_results()
+{
+    return table;
+}
+
 std::string_view to_string(run_outcome outcome)
 {
     switch (outcome) {
--- a/modules/core/result_code.h
+++ b/modules/core/result_code.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <span>
 #include <string_view>
 #include <system_error>
 
@@ -68,6 +69,9 @@
 /// Looks up a result code. Every enumerator has an entry.
 const result_info& describe(result_code code);
 
+/// All results in the order of their numbers.
+std::span<const result_info> all_results();
+
 /// Wire name of an outcome: `answered`, `not_run` or `unknown`.
 std::string_view to_string(run_outcome outcome);
 
--- a/modules/core/tests/core_tests.cpp
+++ b/modules/core/tests/core_tests.cpp
@@ -1,5 +1,8 @@
 #include "core/core.h"
 
+#include <fstream>
+#include <iterator>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace jujubevalve;
@@ -15,6 +18,19 @@
     CHECK_EQUAL(std::string{"stale_version"}, error.message());
 }
 
+// Guards against a code that operators see but cannot look up.
+TEST(core, the_error_page_lists_every_code_with_its_name_status_and_outcome)
+{
+    std::ifstream file{JUJUBEVALVE_SOURCE_DIR "/docs/errors.md"};
+    const std::string page{std::istreambuf_iterator<char>{file}, {}};
+    for (const auto& info : all_results()) {
+        const auto row = "| " + std::to_string(static_cast<int>(info.code)) + " | `" +
+                         std::string{info.name} + "` | " + std::to_string(info.http_status) +
+                         " | " + std::string{to_string(info.outcome)} + " |";
+        CHECK_TEXT(page.find(row) != std::string::npos, row.c_str());
+    }
+}
+
 // Guards against token sums that wrap around and turn a refusal into an admission.
 TEST(core, token_sums_reject_overflow_and_negative_values)
 {
