--- /dev/null
+++ b/modules/router/caller_api.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "http/http.h"
+#include "router/call_service.h"
+#include "router/chat_service.h"
+
+#include <atomic>
+
+namespace jujubevalve
+{
+
+/// Maps HTTP requests of callers to the services. Paths and bodies are those of design.md 5.4.
+class caller_api
+{
+public:
+    caller_api(service_context& context, chat_service& chats, call_service& calls);
+
+    /// Handles one request; called from connection threads.
+    http_response handle(const http_request& request);
+
+    /// Responses that are still being sent.
+    [[nodiscard]] std::int64_t open_responses() const { return open_->load(); }
+
+private:
+    http_response route(const http_request& request);
+    http_response instances(const http_request& request);
+    http_response chat(const http_request& request);
+    http_response call(const http_request& request);
+    http_response health() const;
+    http_response ready() const;
+    http_response metrics();
+    [[nodiscard]] http_response whole_chat(const chat_start& started) const;
+    [[nodiscard]] http_response streamed_chat(const chat_start& started) const;
+    [[nodiscard]] http_response refusal_response(const refusal& refused) const;
+
+    service_context& context_;
+    chat_service& chats_;
+    call_service& calls_;
+    key_prefix prefixes_;
+    steady_clock_ms clock_;
+    std::shared_ptr<std::atomic<std::int64_t>> open_;
+};
+
+} // namespace jujubevalve
--- /dev/null
+++ b/modules/router/chat_service.cpp
@@ -0,0 +1,319 @@
+#include "router/chat_service.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace jujubevalve
+{
+
+namespace
+{
+constexpr std::size_t most_servers_tried = 4;
+
+std::string metadata_of(const std::string& account, const std::string& key, token_count reserved,
+                        const std::string& budget)
+{
+    return nlohmann::json{{"account", account}, {"key", key}, {"budget", budget}, {"reserved", reserved}}.dump();
+}
+} // namespace
+
+chat_service::chat_service(service_context& context, unresolved_runs& unresolved)
+    : context_{context}
+    , unresolved_{unresolved}
+    , parser_{{context.settings.max_request_bytes}}
+    , tokens_{context.settings.fleet_secret}
+{
+}
+
+chat_start chat_service::start(const caller_request& request)
+{
+    chat_start started;
+    if (auto refused = check_accepting(context_)) {
+        started.refused = std::move(refused);
+        return started;
+    }
+    auto prepared = prepare(request);
+    if (!prepared) {
+        started.refused = refuse_with_hint(context_, prepared.why());
+        return started;
+    }
+    auto job = std::move(prepared).value();
+    started.stream = job.chat.stream;
+    started.model = job.chat.model;
+    const execution_request wanted{job.account, request.idempotency_key, job.chat.body_digest,
+                                   true,        0,                       request.attempt,
+                                   true};
+    const auto place = context_.executions.begin(wanted, clock_.now());
+    switch (place.begin.action) {
+    case begin_action::start:
+        break;
+    case begin_action::join:
+        started.running = place.running;
+        return started;
+    case begin_action::answered:
+        started.running = std::make_shared<execution>();
+        started.running->append(place.begin.answer->body);
+        started.running->finish({std::nullopt, run_outcome::answered});
+        return started;
+    case begin_action::refused:
+    case begin_action::outcome_unknown:
+        started.refused = refuse_with_hint(context_, place.begin.why);
+        started.refused->outcome = place.begin.action == begin_action::refused
+                                       ? run_outcome::not_run
+                                       : run_outcome::unknown;
+        return started;
+    }
+    job.id = place.begin.id;
+    job.running = place.running;
+    started.running = place.running;
+    {
+        const std::lock_guard lock{retry_mutex_};
+        retries_.add_request();
+    }
+    context_.runs.run([this, job = std::move(job)] { run(job); });
+    return started;
+}
+
+result<chat_service::job> chat_service::prepare(const caller_request& request) const
+{
+    job result;
+    auto chat = parser_.parse_chat(request.body);
+    const auto match = context_.config.match();
+    if (!chat) {
+        // An unknown caller learns nothing about what the parser found.
+        const auto account = match->account_of(request.bearer_key);
+        return account ? chat.why() : account.why();
+    }
+    result.chat = std::move(chat).value();
+    const auto target = match->match(request.bearer_key, result.chat.model, service_kind::engine);
+    if (!target) {
+        return target.why();
+    }
+    result.match = match;
+    result.target = *target;
+    result.account = target->account;
+    if (!request.idempotency_key.empty()) {
+        if (const auto good = check_key(request.idempotency_key); !good) {
+            return good.why();
+        }
+    }
+    result.key = request.idempotency_key.empty() ? "auto." + random_hex(16)
+                                                 : request.idempotency_key;
+    const auto answer = request_parser::answer_tokens(result.chat, *target->route_row);
+    if (!answer) {
+        return answer.why();
+    }
+    const auto reservation = request_parser::reservation(result.chat, *target->route_row);
+    if (!reservation) {
+        return reservation.why();
+    }
+    result.answer_tokens = *answer;
+    result.reservation = *reservation;
+    if (!request.resume.empty()) {
+        if (const auto resume =
+                tokens_.verify(request.resume, result.account, result.chat.body_digest)) {
+            result.resume = *resume;
+        }
+    }
+    return result;
+}
+
+void chat_service::run(const job& job)
+{
+    if (!job.resume || !run_resumed(job)) {
+        run_new(job);
+    }
+    context_.executions.ended(job.id);
+}
+
+bool chat_service::run_resumed(const job& job)
+{
+    const auto address = context_.pools.address_of(job.resume->server);
+    if (!address ||
+        !context_.executions.with_registry([&](auto& all) { return all.mark_sent(job.id); })) {
+        return false;
+    }
+    job.running->set_resume(
+        tokens_.issue(*job.resume, job.account, job.chat.body_digest));
+    const auto ended = context_.backends.resume(*address, make_request(job, job.resume->backend_key),
+                                                make_sink(job));
+    if (ended.end == backend_end::ended) {
+        ++context_.counts.at("chats_resumed");
+        // The spend belongs to the incarnation that started the run.
+        context_.budgets.add_bill({job.account, job.key, job.target.pool_row->budget,
+                                   ended.used ? ended.used->total() : job.reservation});
+        finish_answered(job, ended.used);
+        return true;
+    }
+    if (job.running->parts() > 0) {
+        finish_lost(job, {result_code::backend_lost, "the resumed stream broke"});
+        return true;
+    }
+    context_.executions.with_registry([&](auto& all) { all.mark_not_delivered(job.id); });
+    return false;
+}
+
+void chat_service::run_new(const job& job)
+{
+    time_ms retry_after{};
+    const auto& row = *job.target.route_row;
+    const auto slot = context_.pools.admit(job.target.server_set, job.account, job.reservation,
+                                           row.priority, context_.settings.admission_wait,
+                                           retry_after);
+    if (!slot) {
+        finish_refused(job, slot.why(), retry_after);
+        return;
+    }
+    std::vector<std::string> tried;
+    auto outcome = try_result::try_next;
+    while (outcome == try_result::try_next) {
+        auto ticket = reserve_tokens(context_, job.target.pool_row->budget, job.reservation);
+        if (!ticket) {
+            finish_refused(job, ticket.why());
+            break;
+        }
+        auto claim = std::move(ticket).value();
+        outcome = try_server(job, claim, tried);
+    }
+    context_.pools.release(*slot);
+}
+
+chat_service::try_result chat_service::try_server(const job& job, spend_ticket& ticket,
+                                                  std::vector<std::string>& tried)
+{
+    const auto choice = context_.pools.choose(job.target.server_set,
+                                              {job.chat.prompt_start, true, tried});
+    if (!choice || tried.size() >= most_servers_tried) {
+        if (choice) {
+            context_.pools.finished(job.target.server_set, choice->name,
+                                    backend_selector::ending::neutral);
+        }
+        context_.budgets.release(ticket);
+        finish_refused(job, choice ? failure{result_code::backend_refused,
+                                             "several backend servers refused the request"}
+                                   : choice.why());
+        return try_result::failed;
+    }
+    tried.push_back(choice->name);
+    const auto key = context_.budgets.assign(ticket, choice->name);
+    if (!key || !context_.executions.with_registry(
+                    [&](auto& all) { return all.mark_sent(job.id); })) {
+        context_.pools.finished(job.target.server_set, choice->name,
+                                backend_selector::ending::neutral);
+        if (key) {
+            context_.budgets.unassign(ticket);
+        }
+        context_.budgets.release(ticket);
+        return try_result::try_next;
+    }
+    job.running->set_resume(
+        tokens_.issue({choice->name, *key}, job.account, job.chat.body_digest));
+    const auto ended =
+        context_.backends.run(choice->address, make_request(job, *key), make_sink(job));
+    return conclude(job, ticket, *choice, *key, ended);
+}
+
+chat_service::try_result chat_service::conclude(const job& job, spend_ticket& ticket,
+                                                const backend_choice& choice,
+                                                const std::string& key, const stream_result& ended)
+{
+    using ending = backend_selector::ending;
+    const bool ok = ended.end == backend_end::ended;
+    const bool refused = ended.end == backend_end::refused;
+    context_.pools.finished(job.target.server_set, choice.name,
+                            ok ? ending::succeeded : refused ? ending::neutral : ending::failed);
+    if (ok) {
+        spend_report report;
+        if (ended.used) {
+            report.used = ended.used->total();
+        }
+        report.bill = bill_entry{job.account, job.key, ticket.budget,
+                                 report.used.value_or(ticket.reserved)};
+        context_.budgets.settle(ticket, report);
+        finish_answered(job, ended.used);
+        return try_result::done;
+    }
+    if (certainly_not_run(ended.end)) {
+        context_.executions.with_registry([&](auto& all) { all.mark_not_delivered(job.id); });
+        context_.budgets.unassign(ticket, ended.key_marked);
+        context_.budgets.release(ticket);
+        ++context_.counts.at("chats_moved_to_another_server");
+        return try_result::try_next;
+    }
+    unresolved_.add(ticket, key);
+    const std::lock_guard lock{retry_mutex_};
+    if (job.running->parts() == 0 && retries_.take(true)) {
+        ++context_.counts.at("chats_run_again");
+        return try_result::try_next;
+    }
+    finish_lost(job, {result_code::backend_lost,
+                      "the connection to the backend server broke during the answer"});
+    return try_result::failed;
+}
+
+engine_request chat_service::make_request(const job& job, const std::string& key) const
+{
+    engine_request request;
+    request.key = key;
+    request.metadata = metadata_of(job.account, job.key, job.reservation, job.target.pool_row->budget);
+    request.body = request_parser::engine_body(job.chat, job.answer_tokens);
+    request.priority = job.target.route_row->priority;
+    request.max_tokens = job.answer_tokens;
+    request.fencing_token = std::to_string(context_.settings.term);
+    return request;
+}
+
+event_sink chat_service::make_sink(const job& job) const
+{
+    return [running = job.running](const engine_event& event) {
+        if (!event.text.empty()) {
+            running->append(event.text);
+        }
+        return true;
+    };
+}
+
+void chat_service::finish_answered(const job& job, const std::optional<usage>& used)
+{
+    execution_end end;
+    end.outcome = run_outcome::answered;
+    if (used) {
+        end.usage = token_usage{used->prompt_tokens, used->completion_tokens};
+    }
+    ++context_.counts.at("chats_answered");
+    context_.executions.with_registry([&](auto& all) {
+        return all.mark_answered(job.id,
+                                 {200, "text/plain", job.running->text(),
+                                  used ? used->total() : job.reservation},
+                                 clock_.now());
+    });
+    job.running->finish(std::move(end));
+}
+
+void chat_service::finish_refused(const job& job, failure why, time_ms retry_after)
+{
+    auto told = refuse_with_hint(context_, why, job.target.pool_row->budget);
+    execution_end end;
+    end.outcome = context_.executions.with_registry(
+        [&](auto& all) { return all.refuse(job.id, why, clock_.now()); });
+    end.why = told.why;
+    end.try_next = std::move(told.try_next);
+    end.retry_after = retry_after > time_ms{0} ? retry_after : told.retry_after;
+    ++context_.counts.at("chats_refused");
+    job.running->finish(std::move(end));
+}
+
+void chat_service::finish_lost(const job& job, failure why)
+{
+    execution_end end;
+    end.outcome = run_outcome::unknown;
+    end.why = why;
+    end.try_next = context_.members.alternatives();
+    ++context_.counts.at("chats_lost");
+    context_.executions.with_registry([&](auto& all) {
+        return all.mark_unknown(job.id, std::move(why), clock_.now());
+    });
+    job.running->finish(std::move(end));
+}
+
+} // namespace jujubevalve
--- /dev/null
+++ b/modules/router/config_service.cpp
@@ -0,0 +1,268 @@
+#include "router/config_service.h"
+
+#include <algorithm>
+#include <spdlog/spdlog.h>
+#include <utility>
+
+namespace jujubevalve
+{
+
+namespace
+{
+constexpr std::size_t entries_per_reply = 100;
+constexpr std::size_t rows_per_reply = 500;
+
+// Cursors of the pages of a snapshot: the table's letter and the last row's name.
+constexpr char routes_cursor = 'r';
+constexpr char pools_cursor = 'p';
+
+template <class Table>
+std::vector<std::string> rows_after(const Table& table, const std::string& after,
+                                    std::string& last)
+{
+    std::vector<std::string> rows;
+    for (auto row = table.upper_bound(after); row != table.end(); ++row) {
+        if (rows.size() == rows_per_reply) {
+            return rows;
+        }
+        rows.push_back(encode(row->second));
+        last = row->first;
+    }
+    last.clear();
+    return rows;
+}
+} // namespace
+
+config_service::config_service(std::int64_t term, http_platform& platform, peer_client& peers,
+                               time_ms peer_timeout, counters& counts, listener adopted)
+    : term_{term}
+    , platform_{platform}
+    , peers_{peers}
+    , peer_timeout_{peer_timeout}
+    , counts_{counts}
+    , adopted_{std::move(adopted)}
+{
+}
+
+bool config_service::poll_platform()
+{
+    const std::lock_guard one_at_a_time{update_mutex_};
+    ++counts_.at("platform_reads");
+    const auto version = load_config_version(platform_);
+    if (!version) {
+        return false;
+    }
+    const auto known = snapshot()->version();
+    if (*version <= known) {
+        return true;
+    }
+    if (known == 0) {
+        return load_whole_tables();
+    }
+    ++counts_.at("platform_reads");
+    const auto entries = load_log(platform_, known);
+    return (entries && take_entries(*entries)) || load_whole_tables();
+}
+
+bool config_service::load_whole_tables()
+{
+    ++counts_.at("platform_reads");
+    const auto tables = load_snapshot(platform_);
+    if (!tables) {
+        spdlog::warn("tables not loaded from the platform: {}", tables.why().message);
+        return false;
+    }
+    return take_snapshot(*tables);
+}
+
+bool config_service::take_entries(const std::vector<config_log_entry>& entries)
+{
+    bool adopted = false;
+    bool complete = true;
+    {
+        const std::lock_guard lock{mutex_};
+        for (const auto& entry : entries) {
+            const auto outcome = history_.adopt(entry);
+            adopted = adopted || outcome == adopt_outcome::adopted;
+            complete = complete && (outcome == adopt_outcome::adopted ||
+                                    outcome == adopt_outcome::already_known);
+        }
+    }
+    if (adopted) {
+        publish();
+    }
+    return complete;
+}
+
+bool config_service::take_snapshot(const config_snapshot& snapshot)
+{
+    {
+        const std::lock_guard lock{mutex_};
+        if (history_.adopt(snapshot) != adopt_outcome::adopted) {
+            return false;
+        }
+    }
+    publish();
+    return true;
+}
+
+void config_service::publish()
+{
+    const auto current = snapshot();
+    auto match = std::make_shared<const router_match>(current);
+    {
+        const std::lock_guard lock{mutex_};
+        match_ = std::move(match);
+    }
+    counts_.at("config_version") = current->version();
+    spdlog::info("configuration version {} of term {} is in force", current->version(),
+                 current->term());
+    adopted_(*current);
+}
+
+void config_service::ask_peers(const std::vector<std::string>& addresses)
+{
+    config_source best;
+    for (const auto& address : addresses) {
+        wire::config_request request;
+        request.term = term_;
+        request.since_version = max_config_version;
+        const auto reply = peers_.call(address, request, peer_timeout_);
+        if (reply && std::pair{reply->term, reply->version} > std::pair{best.term, best.version}) {
+            best = {reply->term, reply->version, address};
+        }
+    }
+    if (best.version > snapshot()->version()) {
+        fetch(best);
+    }
+}
+
+void config_service::fetch(const config_source& source)
+{
+    const std::lock_guard one_at_a_time{update_mutex_};
+    if (source.version <= snapshot()->version()) {
+        return;
+    }
+    ++counts_.at("config_fetched_from_peers");
+    if (snapshot()->version() == 0 || !fetch_entries(source.peer_address)) {
+        fetch_snapshot(source.peer_address);
+    }
+}
+
+bool config_service::fetch_entries(const std::string& address)
+{
+    for (;;) {
+        wire::config_request request;
+        request.term = term_;
+        request.since_version = snapshot()->version();
+        const auto reply = peers_.call(address, request, peer_timeout_);
+        if (!reply) {
+            return true; // the peer does not answer; another one will be asked
+        }
+        if (reply->code != 0 || reply->entries.empty()) {
+            return reply->code == 0;
+        }
+        std::vector<config_log_entry> entries;
+        for (const auto& text : reply->entries) {
+            const auto entry = decode_log_entry(text);
+            if (!entry) {
+                return false;
+            }
+            entries.push_back(*entry);
+        }
+        if (!take_entries(entries)) {
+            return false;
+        }
+    }
+}
+
+void config_service::fetch_snapshot(const std::string& address)
+{
+    config_snapshot::route_table routes;
+    config_snapshot::pool_table pools;
+    wire::config_request request;
+    request.term = term_;
+    request.snapshot = true;
+    std::optional<std::pair<std::int64_t, std::int64_t>> version;
+    do {
+        const auto reply = peers_.call(address, request, peer_timeout_);
+        if (!reply || reply->code != 0) {
+            return;
+        }
+        const std::pair page{reply->term, reply->version};
+        if (version && *version != page) {
+            return; // changed between two pages; the next gossip round tries again
+        }
+        version = page;
+        for (const auto& text : reply->routes) {
+            if (const auto row = decode_route(text)) {
+                routes.emplace(row->name, *row);
+            }
+        }
+        for (const auto& text : reply->pools) {
+            if (const auto row = decode_pool(text)) {
+                pools.emplace(row->name, *row);
+            }
+        }
+        request.cursor = reply->next_cursor;
+    } while (!request.cursor.empty());
+    take_snapshot({version->first, version->second, std::move(routes), std::move(pools)});
+}
+
+wire::config_reply config_service::answer(const wire::config_request& request) const
+{
+    auto reply = request.snapshot ? answer_tables(request.cursor)
+                                  : answer_entries(request.since_version);
+    const auto current = snapshot();
+    reply.term = current->term();
+    reply.version = current->version();
+    return reply;
+}
+
+wire::config_reply config_service::answer_entries(std::int64_t since) const
+{
+    wire::config_reply reply;
+    const std::lock_guard lock{mutex_};
+    if (since >= history_.version()) {
+        return reply;
+    }
+    const auto entries = history_.entries_since(since, entries_per_reply);
+    if (!entries) {
+        reply.code = static_cast<int>(result_code::stale_version);
+        return reply;
+    }
+    for (const auto& entry : *entries) {
+        reply.entries.push_back(encode(entry));
+    }
+    return reply;
+}
+
+wire::config_reply config_service::answer_tables(const std::string& cursor) const
+{
+    wire::config_reply reply;
+    const auto current = snapshot();
+    const auto after = cursor.empty() ? cursor : cursor.substr(1);
+    std::string last;
+    if (cursor.empty() || cursor.front() == routes_cursor) {
+        reply.routes = rows_after(current->routes(), after, last);
+        reply.next_cursor = last.empty() ? std::string{pools_cursor} : routes_cursor + last;
+        return reply;
+    }
+    reply.pools = rows_after(current->pools(), after, last);
+    reply.next_cursor = last.empty() ? std::string{} : pools_cursor + last;
+    return reply;
+}
+
+std::shared_ptr<const router_match> config_service::match() const
+{
+    const std::lock_guard lock{mutex_};
+    return match_;
+}
+
+std::shared_ptr<const config_snapshot> config_service::snapshot() const
+{
+    const std::lock_guard lock{mutex_};
+    return history_.current();
+}
+
+} // namespace jujubevalve
--- /dev/null
+++ b/modules/router/config_service.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "config/config.h"
+#include "config/config_history.h"
+#include "config/config_loader.h"
+#include "membership/membership.h"
+#include "peer/peer.h"
+#include "platform/http_platform.h"
+#include "routing/router_match.h"
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace jujubevalve
+{
+
+/// Keeps the configuration in force up to date from the platform and from peers. It never goes back
+/// to a lower version. Safe to use from any thread.
+class config_service
+{
+public:
+    using listener = std::function<void(const config_snapshot&)>;
+
+    /// `adopted` is called after each new version, one call at a time.
+    config_service(std::int64_t term, http_platform& platform, peer_client& peers,
+                   time_ms peer_timeout, counters& counts, listener adopted);
+
+    /// Asks the platform for newer versions. False if it did not answer.
+    bool poll_platform();
+
+    /// Takes the newest configuration that one of the peers has; for a start without platform.
+    void ask_peers(const std::vector<std::string>& addresses);
+
+    /// Fetches what is missing from a peer that has a higher version.
+    void fetch(const config_source& source);
+
+    /// Answers a peer.
+    [[nodiscard]] wire::config_reply answer(const wire::config_request& request) const;
+
+    /// Matcher of the configuration in force; null before the first one.
+    [[nodiscard]] std::shared_ptr<const router_match> match() const;
+
+    /// The tables in force.
+    [[nodiscard]] std::shared_ptr<const config_snapshot> snapshot() const;
+
+    /// Whether a configuration is in force.
+    [[nodiscard]] bool is_ready() const { return match() != nullptr; }
+
+private:
+    bool load_whole_tables();
+    bool take_entries(const std::vector<config_log_entry>& entries);
+    bool take_snapshot(const config_snapshot& snapshot);
+    bool fetch_entries(const std::string& address);
+    void fetch_snapshot(const std::string& address);
+    void publish();
+    [[nodiscard]] wire::config_reply answer_entries(std::int64_t since) const;
+    [[nodiscard]] wire::config_reply answer_tables(const std::string& cursor) const;
+
+    std::int64_t term_;
+    http_platform& platform_;
+    peer_client& peers_;
+    time_ms peer_timeout_;
+    counters& counts_;
+    listener adopted_;
+    std::mutex update_mutex_; ///< one update at a time
+    mutable std::mutex mutex_;
+    config_history history_;
+    std::shared_ptr<const router_match> match_;
+};
+
+} // namespace jujubevalve
--- a/modules/router/execution.h
+++ b/modules/router/execution.h
@@ -24,8 +24,10 @@
     std::optional<failure> why; ///< empty after a whole answer
     run_outcome outcome{run_outcome::unknown};
     int http_status{200};              ///< status of a plain service's answer
+    std::string content_type;          ///< of a plain service's answer
     std::vector<std::string> try_next; ///< addresses where the caller may retry
     std::optional<token_usage> usage;
+    time_ms retry_after{0}; ///< 0: no advice
 
     friend bool operator==(const execution_end&, const execution_end&) = default;
 };
--- /dev/null
+++ b/modules/router/execution_table.cpp
@@ -0,0 +1,40 @@
+#include "router/execution_table.h"
+
+#include <utility>
+
+namespace jujubevalve
+{
+
+execution_table::execution_table(std::string incarnation, key_epochs epochs)
+    : epochs_{epochs}
+    , registry_{std::move(incarnation), epochs}
+{
+}
+
+execution_table::place execution_table::begin(const execution_request& request, time_ms now)
+{
+    const std::lock_guard lock{mutex_};
+    place result{registry_.begin(request, now), nullptr};
+    if (result.begin.action == begin_action::start) {
+        result.running = std::make_shared<execution>();
+        running_.emplace(result.begin.id, result.running);
+    } else if (result.begin.action == begin_action::join) {
+        const auto found = running_.find(result.begin.id);
+        result.running = found == running_.end() ? nullptr : found->second;
+    }
+    return result;
+}
+
+void execution_table::ended(execution_id id)
+{
+    const std::lock_guard lock{mutex_};
+    running_.erase(id);
+}
+
+std::size_t execution_table::active() const
+{
+    const std::lock_guard lock{mutex_};
+    return registry_.active();
+}
+
+} // namespace jujubevalve
--- /dev/null
+++ b/modules/router/membership_service.cpp
@@ -0,0 +1,167 @@
+#include "router/membership_service.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace jujubevalve
+{
+
+namespace
+{
+constexpr std::size_t longest_try_list = 3;
+
+membership_settings to_membership(const router_settings& settings)
+{
+    membership_settings result;
+    result.interval = settings.gossip_interval;
+    return result;
+}
+} // namespace
+
+membership_service::membership_service(const member_entry& own, const router_settings& settings,
+                                       peer_client& peers)
+    : peers_{peers}
+    , timeout_{settings.peer_timeout}
+    , table_{own, settings.seeds, to_membership(settings), std::random_device{}()}
+{
+}
+
+void membership_service::run_round()
+{
+    std::vector<std::string> chosen;
+    {
+        const std::lock_guard lock{mutex_};
+        chosen = table_.begin_round(clock_.now());
+    }
+    // Exchanges with silent peers must not delay those with others, nor the next round.
+    constexpr std::size_t most_exchanges = 32;
+    for (const auto& address : chosen) {
+        if (exchanges_.running() < most_exchanges) {
+            exchanges_.run([this, address] { exchange(address); });
+        }
+    }
+}
+
+void membership_service::exchange(const std::string& address)
+{
+    wire::gossip request;
+    {
+        const std::lock_guard lock{mutex_};
+        request = to_message(table_.make_digest(clock_.now()));
+    }
+    const auto reply = peers_.call(address, request, timeout_);
+    if (!reply) {
+        return;
+    }
+    std::optional<config_source> newer;
+    std::function<void(const config_source&)> fetch;
+    {
+        const std::lock_guard lock{mutex_};
+        table_.merge(to_digest(*reply), clock_.now(), address);
+        newer = table_.newer_config(clock_.now());
+        fetch = fetch_;
+    }
+    if (newer && fetch) {
+        fetch(*newer);
+    }
+}
+
+wire::gossip membership_service::answer(const wire::gossip& request)
+{
+    const std::lock_guard lock{mutex_};
+    return to_message(table_.answer(to_digest(request), clock_.now()));
+}
+
+void membership_service::stop()
+{
+    {
+        const std::lock_guard lock{mutex_};
+        fetch_ = nullptr;
+    }
+    exchanges_.wait_idle(minutes(1));
+}
+
+void membership_service::set_draining()
+{
+    const std::lock_guard lock{mutex_};
+    table_.set_draining();
+}
+
+void membership_service::set_config(std::int64_t term, std::int64_t version)
+{
+    const std::lock_guard lock{mutex_};
+    table_.set_config(term, version);
+}
+
+void membership_service::announce(std::map<std::string, std::int64_t, std::less<>> available)
+{
+    const std::lock_guard lock{mutex_};
+    table_.hints().announce(std::move(available));
+}
+
+void membership_service::seek(const std::string& budget)
+{
+    const std::lock_guard lock{mutex_};
+    table_.hints().seek(budget, clock_.now());
+}
+
+std::vector<listed_address> membership_service::addresses(const caller_place& place)
+{
+    const std::lock_guard lock{mutex_};
+    return make_address_list(table_, clock_.now(), place, rotation_++);
+}
+
+std::vector<std::string> membership_service::alternatives(const std::string& budget)
+{
+    const std::lock_guard lock{mutex_};
+    const auto now = clock_.now();
+    std::vector<std::string> result;
+    if (!budget.empty()) {
+        if (const auto holder = table_.holder_of(budget, now)) {
+            result.push_back(holder->http_address);
+        }
+    }
+    const caller_place here{table_.own().failure_domain, table_.own().region};
+    for (const auto& listed : make_address_list(table_, now, here, rotation_++)) {
+        const bool known =
+            std::find(result.begin(), result.end(), listed.http_address) != result.end();
+        if (listed.instance != table_.own().instance && !known &&
+            result.size() < longest_try_list) {
+            result.push_back(listed.http_address);
+        }
+    }
+    return result;
+}
+
+std::optional<member_entry> membership_service::holder_of(const std::string& budget) const
+{
+    const std::lock_guard lock{mutex_};
+    return table_.holder_of(budget, clock_.now());
+}
+
+std::optional<member_view> membership_service::find(const std::string& incarnation) const
+{
+    const std::lock_guard lock{mutex_};
+    return table_.find(incarnation, clock_.now());
+}
+
+std::vector<member_view> membership_service::members() const
+{
+    const std::lock_guard lock{mutex_};
+    return table_.members(clock_.now());
+}
+
+std::int64_t membership_service::live_instances() const
+{
+    const std::lock_guard lock{mutex_};
+    return table_.live_instances(clock_.now());
+}
+
+member_entry membership_service::own() const
+{
+    const std::lock_guard lock{mutex_};
+    return table_.own();
+}
+
+} // namespace jujubevalve
--- /dev/null
+++ b/modules/router/membership_service.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "membership/membership.h"
+#include "peer/peer.h"
+#include "router/router_settings.h"
+#include "router/task_group.h"
+
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace jujubevalve
+{
+
+/// Exchanges gossip with other instances and answers questions about them. Safe to use from any
+/// thread. Nothing it says is relied upon for a guarantee.
+class membership_service
+{
+public:
+    membership_service(const member_entry& own, const router_settings& settings,
+                       peer_client& peers);
+
+    /// One gossip round with the peers that the table chooses. Returns without waiting for slow
+    /// peers.
+    void run_round();
+
+    /// Merges a peer's digest and makes the answer.
+    wire::gossip answer(const wire::gossip& request);
+
+    /// Called with a peer that has a newer configuration, after each exchange.
+    void on_newer_config(std::function<void(const config_source&)> fetch)
+    {
+        fetch_ = std::move(fetch);
+    }
+
+    /// Stops further use of `on_newer_config` and waits for exchanges that are under way.
+    void stop();
+
+    void set_draining();
+    void set_config(std::int64_t term, std::int64_t version);
+    void announce(std::map<std::string, std::int64_t, std::less<>> available);
+    void seek(const std::string& budget);
+
+    /// Addresses for a caller, nearest first.
+    [[nodiscard]] std::vector<listed_address> addresses(const caller_place& place);
+
+    /// Addresses where a caller refused here may retry: holders of the budget first, if one is
+    /// given; never this instance.
+    [[nodiscard]] std::vector<std::string> alternatives(const std::string& budget = {});
+
+    [[nodiscard]] std::optional<member_entry> holder_of(const std::string& budget) const;
+    [[nodiscard]] std::optional<member_view> find(const std::string& incarnation) const;
+    [[nodiscard]] std::vector<member_view> members() const;
+    [[nodiscard]] std::int64_t live_instances() const;
+    [[nodiscard]] member_entry own() const;
+
+private:
+    void exchange(const std::string& address);
+
+    peer_client& peers_;
+    time_ms timeout_;
+    steady_clock_ms clock_;
+    mutable std::mutex mutex_;
+    member_table table_;
+    std::uint64_t rotation_{0};
+    std::function<void(const config_source&)> fetch_;
+    task_group exchanges_;
+};
+
+} // namespace jujubevalve
--- /dev/null
+++ b/modules/router/periodic_task.cpp
@@ -0,0 +1,61 @@
+#include "router/periodic_task.h"
+
+#include <chrono>
+#include <random>
+#include <utility>
+
+namespace jujubevalve
+{
+
+periodic_task::periodic_task(time_ms interval, std::function<void()> run)
+    : interval_{interval}, run_{std::move(run)}, thread_{[this] { loop(); }}
+{
+}
+
+periodic_task::~periodic_task()
+{
+    stop();
+}
+
+void periodic_task::wake()
+{
+    {
+        const std::lock_guard lock{mutex_};
+        woken_ = true;
+    }
+    changed_.notify_all();
+}
+
+void periodic_task::stop()
+{
+    {
+        const std::lock_guard lock{mutex_};
+        stopping_ = true;
+    }
+    changed_.notify_all();
+    if (thread_.joinable()) {
+        thread_.join();
+    }
+}
+
+void periodic_task::loop()
+{
+    while (wait_for_turn()) {
+        run_();
+    }
+}
+
+bool periodic_task::wait_for_turn()
+{
+    // Without jitter, instances that start together would send their calls together for ever.
+    static thread_local std::minstd_rand random{std::random_device{}()};
+    const auto tenth = std::max<std::int64_t>(1, interval_.count() / 10);
+    const auto jitter = std::uniform_int_distribution<std::int64_t>{-tenth, tenth}(random);
+    std::unique_lock lock{mutex_};
+    changed_.wait_for(lock, std::chrono::milliseconds{interval_.count() + jitter},
+                      [this] { return woken_ || stopping_; });
+    woken_ = false;
+    return !stopping_;
+}
+
+} // namespace jujubevalve
--- /dev/null
+++ b/modules/router/recovery_service.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "backend/backend_client.h"
+#include "peer/peer.h"
+#include "platform/http_platform.h"
+#include "recovery/recovery.h"
+#include "router/config_service.h"
+#include "router/instance_directory.h"
+#include "router/router_settings.h"
+#include "router/server_pools.h"
+
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+
+namespace jujubevalve
+{
+
+/// Closes the grants of incarnations that are certainly gone. Every router may do so at the same
+/// time; all steps are conditional transactions. Safe to use from any thread.
+class recovery_service
+{
+public:
+    recovery_service(const instance_row& own, const router_settings& settings,
+                     http_platform& platform, peer_client& peers, backend_client& backends,
+                     server_pools& pools, config_service& config, instance_directory& directory,
+                     counters& counts);
+
+    /// Takes over a read of the platform's instance list.
+    void list_read(const std::vector<std::string>& names, time_ms asked_at, time_ms answered_at);
+
+    /// Judges the evidence and works on the recovery until it is done or cannot go on.
+    void run();
+
+private:
+    void watch_rows();
+    [[nodiscard]] std::set<std::string> gone_incarnations();
+    void work();
+    [[nodiscard]] recovery_settings make_settings() const;
+    recovery_answer carry_out(const recovery_command& command);
+    recovery_answer carry_out(const read_rows& step);
+    recovery_answer carry_out(const scan_rows& step);
+    recovery_answer carry_out(const list_objects& step);
+    recovery_answer carry_out(const get_object& step);
+    recovery_answer carry_out(const put_object& step);
+    recovery_answer carry_out(const cancel_key& step);
+    recovery_answer carry_out(const ask_peer& step);
+    recovery_answer carry_out(const commit_rows& step);
+
+    instance_row own_;
+    const router_settings& settings_;
+    http_platform& platform_;
+    peer_client& peers_;
+    backend_client& backends_;
+    server_pools& pools_;
+    config_service& config_;
+    instance_directory& directory_;
+    counters& counts_;
+    steady_clock_ms clock_;
+    std::mutex evidence_mutex_;
+    gone_evidence evidence_;
+    std::set<std::string> watched_;
+    std::mutex work_mutex_;
+    std::set<std::string> members_;
+    std::unique_ptr<recovery_plan> plan_;
+};
+
+} // namespace jujubevalve
--- /dev/null
+++ b/modules/router/service_context.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "backend/backend_client.h"
+#include "requests/requests.h"
+#include "routing/routing.h"
+#include "router/budget_service.h"
+#include "router/config_service.h"
+#include "router/execution_table.h"
+#include "router/instance_directory.h"
+#include "router/membership_service.h"
+#include "router/router_settings.h"
+#include "router/server_pools.h"
+#include "router/task_group.h"
+
+#include <atomic>
+#include <functional>
+
+namespace jujubevalve
+{
+
+/// The parts of a router that the request services work with. All of them outlive the services.
+struct service_context {
+    const router_settings& settings;
+    const std::string& incarnation;
+    config_service& config;
+    membership_service& members;
+    instance_directory& directory;
+    budget_service& budgets;
+    server_pools& pools;
+    backend_client& backends;
+    execution_table& executions;
+    http_platform& platform;
+    peer_client& peers;
+    counters& counts;
+    task_group& runs;
+    std::atomic<bool>& draining;
+
+    /// Asks peers for tokens of a budget; true if some came.
+    std::function<bool(const std::string& budget, token_count tokens)> request_transfer;
+};
+
+/// Whether this instance takes new requests now; the refusal if not.
+std::optional<refusal> check_accepting(const service_context& context);
+
+/// Reserves tokens; asks a peer if the own grant and the platform have too few.
+result<spend_ticket> reserve_tokens(const service_context& context, const std::string& budget,
+                                    token_count tokens);
+
+/// Turns a failure into a refusal with addresses where a retry may succeed.
+refusal refuse_with_hint(const service_context& context, failure why,
+                         const std::string& budget = {});
+
+} // namespace jujubevalve
--- /dev/null
+++ b/modules/router/transfer_service.cpp
@@ -0,0 +1,213 @@
+#include "router/transfer_service.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace jujubevalve
+{
+
+namespace
+{
+// A sender keeps at least this part of what it has available for its own callers.
+constexpr token_count kept_divisor = 2;
+
+wire::transfer to_message(const transfer& item)
+{
+    wire::transfer message;
+    message.sender = item.from;
+    message.receiver = item.to;
+    message.n = item.n;
+    message.budget = item.budget;
+    message.amount = item.amount;
+    return message;
+}
+
+transfer to_transfer(const wire::transfer& message)
+{
+    return {message.sender, message.receiver, message.n, message.budget, message.amount};
+}
+} // namespace
+
+transfer_service::transfer_service(budget_service& budgets, membership_service& members,
+                                   http_platform& platform, peer_client& peers,
+                                   time_ms peer_timeout, counters& counts)
+    : budgets_{budgets}
+    , members_{members}
+    , platform_{platform}
+    , peers_{peers}
+    , timeout_{peer_timeout}
+    , counts_{counts}
+    , book_{budgets.with_book([](grant_book& book) -> grant_book& { return book; })}
+{
+}
+
+bool transfer_service::request(const std::string& budget, token_count tokens)
+{
+    const auto holder = members_.holder_of(budget);
+    if (!holder || holder->incarnation == members_.own().incarnation) {
+        return false;
+    }
+    wire::transfer_request request;
+    request.receiver = members_.own().incarnation;
+    request.budget = budget;
+    request.amount = tokens;
+    ++counts_.at("transfers_requested");
+    const auto reply = peers_.call(holder->peer_address, request, timeout_);
+    if (!reply || reply->offers.empty()) {
+        return false;
+    }
+    bool credited = false;
+    const auto ack = credit(reply->offers, credited);
+    // If this message is lost, the sender offers the transfer again.
+    wire::transfer_done done;
+    done.ack = ack;
+    peers_.call(holder->peer_address, done, timeout_);
+    return credited;
+}
+
+wire::transfer_ack transfer_service::credit(const std::vector<wire::transfer>& offers,
+                                            bool& credited)
+{
+    wire::transfer_ack ack;
+    ack.receiver = members_.own().incarnation;
+    for (const auto& offer : offers) {
+        const auto answer = budgets_.with_book(
+            [&](grant_book&) { return book_.receive(to_transfer(offer)); });
+        if (!answer) {
+            ack.code = static_cast<int>(answer.why().code);
+            continue;
+        }
+        const bool taken = *answer == transfer_answer::credited;
+        credited = credited || taken;
+        (taken ? ack.credited : ack.refused).push_back(offer.n);
+    }
+    if (credited) {
+        ++counts_.at("transfers_received");
+        budgets_.notify();
+    }
+    return ack;
+}
+
+wire::transfer_reply transfer_service::answer(const wire::transfer_request& request)
+{
+    wire::transfer_reply reply;
+    const auto sent = budgets_.with_book([&](grant_book& book) {
+        const auto spare = book.available(request.budget) / kept_divisor;
+        const auto amount = std::min<token_count>(request.amount, spare);
+        return amount > 0 ? book_.send(request.receiver, request.budget, amount) : std::nullopt;
+    });
+    if (!sent) {
+        reply.code = static_cast<int>(result_code::budget_exhausted);
+        return reply;
+    }
+    ++counts_.at("transfers_sent");
+    reply.offers.push_back(to_message(*sent));
+    return reply;
+}
+
+wire::transfer_ack transfer_service::answer(const wire::transfer_offer& offer)
+{
+    bool credited = false;
+    return credit(offer.offers, credited);
+}
+
+wire::transfer_done transfer_service::answer(const wire::transfer_done& done)
+{
+    budgets_.with_book([&](grant_book&) {
+        for (const auto n : done.ack.credited) {
+            book_.acknowledge(done.ack.receiver, n);
+        }
+        for (const auto n : done.ack.refused) {
+            book_.take_back(done.ack.receiver, n);
+        }
+    });
+    return {};
+}
+
+wire::received_reply transfer_service::answer(const wire::received_query& query)
+{
+    wire::received_reply reply;
+    reply.receiver = members_.own().incarnation;
+    for (const auto& gone : query.gone) {
+        const auto totals = budgets_.with_book(
+            [&](grant_book&) { return book_.totals_for_recovery(gone); });
+        wire::peer_totals message;
+        message.gone = gone;
+        for (const auto& total : totals) {
+            wire::transfer_total item;
+            item.budget = total.budget;
+            item.sent = total.sent;
+            item.received = total.received;
+            message.totals.push_back(item);
+        }
+        reply.totals.push_back(message);
+    }
+    return reply;
+}
+
+void transfer_service::repeat_unacknowledged()
+{
+    std::map<std::string, std::vector<transfer>> by_receiver;
+    for (const auto& item :
+         budgets_.with_book([&](grant_book&) { return book_.unacknowledged(); })) {
+        by_receiver[item.to].push_back(item);
+    }
+    for (const auto& [receiver, transfers] : by_receiver) {
+        if (!deliver(receiver, transfers)) {
+            settle_with_closed(receiver, transfers);
+        }
+    }
+}
+
+bool transfer_service::deliver(const std::string& receiver, const std::vector<transfer>& transfers)
+{
+    const auto member = members_.find(receiver);
+    if (!member) {
+        return false;
+    }
+    wire::transfer_offer offer;
+    std::transform(transfers.begin(), transfers.end(), std::back_inserter(offer.offers),
+                   &to_message);
+    const auto ack = peers_.call(member->entry.peer_address, offer, timeout_);
+    if (!ack || ack->receiver != receiver) {
+        return false;
+    }
+    wire::transfer_done done;
+    done.ack = *ack;
+    answer(done);
+    return true;
+}
+
+void transfer_service::settle_with_closed(const std::string& receiver,
+                                          const std::vector<transfer>& transfers)
+{
+    std::set<std::string> budgets;
+    for (const auto& item : transfers) {
+        budgets.insert(item.budget);
+    }
+    for (const auto& budget : budgets) {
+        const auto rows = platform_.read({grant_key(budget, receiver)});
+        const auto row = rows && !rows->empty() ? parse_grant_row(rows->front().value)
+                                                : result<grant_row>{failure{}};
+        if (!row || !row->closed) {
+            continue;
+        }
+        const auto found = row->received.find(members_.own().incarnation);
+        const auto total = found == row->received.end() ? 0 : found->second;
+        budgets_.with_book(
+            [&](grant_book&) { book_.settle_closed(receiver, budget, total); });
+    }
+}
+
+void transfer_service::refuse_all()
+{
+    budgets_.with_book([&](grant_book&) { book_.refuse_all(); });
+}
+
+bool transfer_service::all_acknowledged()
+{
+    return budgets_.with_book([&](grant_book&) { return book_.all_acknowledged(); });
+}
+
+} // namespace jujubevalve
--- /dev/null
+++ b/modules/router/transfer_service.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "peer/peer.h"
+#include "router/budget_service.h"
+#include "router/membership_service.h"
+
+#include <string>
+#include <vector>
+
+namespace jujubevalve
+{
+
+/// Moves unspent grants between instances when a grant is empty and the platform is unreachable or
+/// has nothing free. Safe to use from any thread: the book is only touched under the lock of the
+/// budget service.
+class transfer_service
+{
+public:
+    transfer_service(budget_service& budgets, membership_service& members, http_platform& platform,
+                     peer_client& peers, time_ms peer_timeout, counters& counts);
+
+    /// Asks the instance that holds the most of the budget for tokens. Returns whether some came.
+    bool request(const std::string& budget, token_count tokens);
+
+    /// Delivers unacknowledged transfers again, and takes back those whose receiver is closed.
+    void repeat_unacknowledged();
+
+    /// Refuses all transfers from now on; call before the grants are closed.
+    void refuse_all();
+    [[nodiscard]] bool all_acknowledged();
+
+    wire::transfer_reply answer(const wire::transfer_request& request);
+    wire::transfer_ack answer(const wire::transfer_offer& offer);
+    wire::transfer_done answer(const wire::transfer_done& done);
+    wire::received_reply answer(const wire::received_query& query);
+
+private:
+    bool deliver(const std::string& receiver, const std::vector<transfer>& transfers);
+    void settle_with_closed(const std::string& receiver, const std::vector<transfer>& transfers);
+    wire::transfer_ack credit(const std::vector<wire::transfer>& offers, bool& credited);
+
+    budget_service& budgets_;
+    membership_service& members_;
+    http_platform& platform_;
+    peer_client& peers_;
+    time_ms timeout_;
+    counters& counts_;
+    transfer_book book_;
+};
+
+} // namespace jujubevalve
--- /dev/null
+++ b/modules/router/unresolved_runs.cpp
@@ -0,0 +1,78 @@
+#include "router/unresolved_runs.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jujubevalve
+{
+
+unresolved_runs::unresolved_runs(backend_client& backends, server_pools& pools,
+                                 budget_service& budgets, counters& counts, time_ms give_up_after)
+    : backends_{backends}
+    , pools_{pools}
+    , budgets_{budgets}
+    , counts_{counts}
+    , give_up_after_{give_up_after}
+{
+}
+
+void unresolved_runs::add(const spend_ticket& ticket, const std::string& key)
+{
+    const lost_run run{ticket, key, clock_.now()};
+    if (resolve(run)) {
+        return;
+    }
+    const std::lock_guard lock{mutex_};
+    runs_.push_back(run);
+}
+
+void unresolved_runs::resolve()
+{
+    std::vector<lost_run> asked;
+    {
+        const std::lock_guard lock{mutex_};
+        asked = std::exchange(runs_, {});
+    }
+    std::vector<lost_run> left;
+    for (const auto& run : asked) {
+        if (!resolve(run)) {
+            left.push_back(run);
+        }
+    }
+    const std::lock_guard lock{mutex_};
+    runs_.insert(runs_.end(), left.begin(), left.end());
+    counts_.at("runs_unresolved") = static_cast<std::int64_t>(runs_.size());
+}
+
+bool unresolved_runs::resolve(const lost_run& run)
+{
+    const auto address = pools_.address_of(run.ticket.server);
+    const auto answer = address ? backends_.cancel(*address, run.key)
+                                : result<cancel_result>{failure{result_code::unknown_name, {}}};
+    if (!answer) {
+        if (clock_.now() - run.since < give_up_after_) {
+            return false;
+        }
+        ++counts_.at("runs_charged_in_full");
+        budgets_.settle(run.ticket, {std::nullopt, std::nullopt, false});
+        return true;
+    }
+    // An engine that restarted does not know what it consumed before.
+    const bool ran = answer->known || answer->records_age <= clock_.now() - run.since;
+    spend_report report;
+    if (answer->known && answer->used) {
+        report.used = answer->used->total();
+    } else if (!ran) {
+        report.used = 0;
+    }
+    budgets_.settle(run.ticket, report);
+    return true;
+}
+
+std::size_t unresolved_runs::size() const
+{
+    const std::lock_guard lock{mutex_};
+    return runs_.size();
+}
+
+} // namespace jujubevalve
--- /dev/null
+++ b/modules/router/unresolved_runs.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "backend/backend_client.h"
+#include "router/budget_service.h"
+#include "router/server_pools.h"
+
+#include <mutex>
+#include <vector>
+
+namespace jujubevalve
+{
+
+/// Runs whose stream was lost and whose usage is not known yet. Their reservations stay until the
+/// backend server has answered a cancel, so that spend is neither missed nor counted twice.
+class unresolved_runs
+{
+public:
+    unresolved_runs(backend_client& backends, server_pools& pools, budget_service& budgets,
+                    counters& counts, time_ms give_up_after);
+
+    /// Takes over the ticket of a lost run with its key at the backend server.
+    void add(const spend_ticket& ticket, const std::string& key);
+
+    /// Asks the servers again. A run that nobody can tell about for the time limit is charged with
+    /// its whole reservation.
+    void resolve();
+
+    [[nodiscard]] std::size_t size() const;
+
+private:
+    struct lost_run {
+        spend_ticket ticket;
+        std::string key;
+        time_ms since{};
+    };
+
+    bool resolve(const lost_run& run);
+
+    backend_client& backends_;
+    server_pools& pools_;
+    budget_service& budgets_;
+    counters& counts_;
+    time_ms give_up_after_;
+    steady_clock_ms clock_;
+    mutable std::mutex mutex_;
+    std::vector<lost_run> runs_;
+};
+
+} // namespace jujubevalve
