--- /dev/null
+++ b/modules/backend/backend.h
@@ -0,0 +1,16 @@
+#pragma once
+
+/// Umbrella header of the backend module: running one request at one backend server.
+#include "backend/backend_client.h"
+#include "backend/backend_end.h"
+#include "backend/call_result.h"
+#include "backend/cancel_result.h"
+#include "backend/engine_event.h"
+#include "backend/engine_request.h"
+#include "backend/load_report.h"
+#include "backend/plain_call.h"
+#include "backend/resume_policy.h"
+#include "backend/sse_parser.h"
+#include "backend/stream_checker.h"
+#include "backend/stream_result.h"
+#include "backend/usage.h"
--- /dev/null
+++ b/modules/backend/plain_call.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <string>
+
+namespace jujubevalve
+{
+
+/// One call of a plain service.
+struct plain_call {
+    std::string kind; ///< last part of the path /v1/calls/<kind>
+    std::string idempotency_key;
+    std::string fencing_token;
+    std::string body;
+
+    friend bool operator==(const plain_call&, const plain_call&) = default;
+};
+
+} // namespace jujubevalve
--- /dev/null
+++ b/modules/backend/stream_result.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "backend/backend_end.h"
+#include "backend/usage.h"
+#include "core/time_ms.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace jujubevalve
+{
+
+/// What became of a streamed chat request after all its resumes.
+struct stream_result {
+    backend_end end{backend_end::lost};
+    std::optional<usage> used;  ///< as the engine reported it; may be missing even if ended
+    std::int64_t next_index{0}; ///< index after the last event delivered
+    int resumes{0};
+    /// The engine has recorded the key as cancelled, so the key must not be used again even though
+    /// the request did not run.
+    bool key_marked{false};
+    int http_status{0};     ///< of the last response, 0 if none
+    std::string error_type; ///< of a refusal: `leaving`, `queue_full`, `fenced`, ...
+    time_ms retry_after{0}; ///< of a refusal, 0 if not given
+};
+
+} // namespace jujubevalve
