Add the backend client: checked, resumable streams and plain calls

curl sends a request again by itself when a reused connection closes without a response, so starts, resumes and plain calls use a connection of their own. 'Unknown key' proves that nothing ran only while the engine's records go back to before the request was sent; an engine that restarted has forgotten its runs.

--- a/modules/backend/backend.h
+++ b/modules/backend/backend.h
@@ -3,6 +3,7 @@
 /// Umbrella header of the backend module: running one request at one backend server.
 #include "backend/backend_client.h"
 #include "backend/backend_end.h"
+#include "backend/backend_refusal.h"
 #include "backend/call_result.h"
 #include "backend/cancel_result.h"
 #include "backend/engine_event.h"
--- /dev/null
+++ b/modules/backend/backend_client.cpp
@@ -0,0 +1,422 @@
+#include "backend/backend_client.h"
+
+#include "backend/backend_refusal.h"
+#include "backend/sse_parser.h"
+#include "backend/stream_checker.h"
+#include "core/clock.h"
+#include "http/http_client.h"
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <thread>
+#include <utility>
+
+namespace jujubevalve
+{
+
+namespace
+{
+using nlohmann::json;
+
+std::string url_of(const std::string& address, std::string_view path)
+{
+    return "http://" + address + std::string{path};
+}
+
+std::int64_t number_at(const json& object, const char* name, std::int64_t otherwise)
+{
+    const auto found = object.find(name);
+    return found != object.end() && found->is_number_integer() ? found->get<std::int64_t>()
+                                                               : otherwise;
+}
+
+bool flag_at(const json& object, const char* name)
+{
+    const auto found = object.find(name);
+    return found != object.end() && found->is_boolean() && found->get<bool>();
+}
+
+std::optional<usage> usage_at(const json& object)
+{
+    const auto found = object.find("usage");
+    if (found == object.end() || !found->is_object()) {
+        return std::nullopt;
+    }
+    const usage used{number_at(*found, "prompt_tokens", -1),
+                     number_at(*found, "completion_tokens", -1)};
+    return used.prompt_tokens < 0 || used.completion_tokens < 0 ? std::nullopt
+                                                                : std::optional{used};
+}
+
+cancel_result read_cancel(const json& body)
+{
+    cancel_result cancelled;
+    cancelled.known = flag_at(body, "known");
+    cancelled.marked_before = flag_at(body, "marked_before");
+    cancelled.finished = flag_at(body, "finished");
+    cancelled.records_age = time_ms{number_at(body, "records_age_ms", 0)};
+    cancelled.used = usage_at(body);
+    const auto metadata = body.find("metadata");
+    if (metadata != body.end() && metadata->is_string()) {
+        cancelled.metadata = metadata->get<std::string>();
+    }
+    return cancelled;
+}
+
+// Counters of the stream faults, looked up once.
+struct stream_counters {
+    explicit stream_counters(counters& counted)
+        : wrong_key{counted.at("backend_events_wrong_key")}
+        , repeated{counted.at("backend_events_repeated")}
+        , skipped{counted.at("backend_events_skipped")}
+        , malformed{counted.at("backend_events_malformed")}
+        , surplus{counted.at("backend_events_surplus")}
+        , silent{counted.at("backend_streams_silent")}
+        , broken{counted.at("backend_streams_broken")}
+        , resumes{counted.at("backend_resumes")}
+        , usage_missing{counted.at("backend_usage_missing")}
+    {
+    }
+
+    counter& wrong_key;
+    counter& repeated;
+    counter& skipped;
+    counter& malformed;
+    counter& surplus;
+    counter& silent;
+    counter& broken;
+    counter& resumes;
+    counter& usage_missing;
+};
+
+// Takes the bytes of one exchange and passes the checked events on.
+class stream_reader
+{
+public:
+    stream_reader(stream_checker& checker, const event_sink& sink, stream_counters& counted,
+                  stream_result& result)
+        : checker_{checker}
+        , sink_{sink}
+        , counted_{counted}
+        , result_{result}
+        , last_byte_{clock_.now()}
+    {
+    }
+
+    // Returns false when the exchange is to be given up.
+    bool take(std::string_view bytes)
+    {
+        last_byte_ = clock_.now();
+        for (const auto& event : parser_.feed(bytes)) {
+            if (!take_event(event)) {
+                return false;
+            }
+        }
+        if (parser_.failed()) {
+            ++counted_.malformed;
+        }
+        return !parser_.failed();
+    }
+
+    [[nodiscard]] bool stopped() const { return stopped_; }
+    [[nodiscard]] time_ms silent_for() const { return clock_.now() - last_byte_; }
+
+private:
+    bool take_event(const sse_event& event)
+    {
+        if (event.data == "[DONE]") {
+            return true;
+        }
+        const auto parsed = parse_engine_event(event.data);
+        if (!parsed) {
+            ++counted_.malformed;
+            return false;
+        }
+        switch (checker_.check(*parsed)) {
+        case event_verdict::deliver:
+            return deliver(*parsed);
+        case event_verdict::wrong_key:
+            ++counted_.wrong_key;
+            return true;
+        case event_verdict::repeated:
+            ++counted_.repeated;
+            return true;
+        case event_verdict::surplus:
+            ++counted_.surplus;
+            return true;
+        case event_verdict::skipped:
+            ++counted_.skipped;
+            return false;
+        }
+        return false;
+    }
+
+    bool deliver(const engine_event& event)
+    {
+        if (event.used) {
+            result_.used = event.used;
+        }
+        result_.next_index = checker_.next_index();
+        stopped_ = !sink_(event) && !checker_.complete();
+        return !stopped_;
+    }
+
+    stream_checker& checker_;
+    const event_sink& sink_;
+    stream_counters& counted_;
+    stream_result& result_;
+    sse_parser parser_;
+    steady_clock_ms clock_;
+    time_ms last_byte_;
+    bool stopped_{false};
+};
+
+http_headers start_headers(const engine_request& request)
+{
+    return {{"Content-Type", "application/json"},
+            {"X-Request-Key", request.key},
+            {"X-Priority", std::to_string(request.priority)},
+            {"X-Fencing-Token", request.fencing_token},
+            {"X-Metadata", request.metadata}};
+}
+} // namespace
+
+class backend_client::impl
+{
+public:
+    impl(const backend_options& options, counters& counted)
+        : options_{options}
+        , counted_{counted}
+    {
+    }
+
+    // One streamed request over all its exchanges.
+    stream_result stream(const std::string& address, const engine_request& request,
+                         const event_sink& sink, bool started)
+    {
+        stream_result result;
+        result.next_index = request.from_index;
+        stream_checker checker{request.key, request.from_index};
+        resume_policy policy{options_.resume, started, request.from_index};
+        const auto first_sent = clock_.now();
+        auto call = started ? resume_call(address, request, request.from_index)
+                            : start_call(address, request);
+        while (true) {
+            const auto step = policy.after(exchange(call, checker, sink, result));
+            result.resumes = policy.resumes();
+            if (step.what == resume_step::kind::finish) {
+                result.end = step.end;
+                break;
+            }
+            if (step.what == resume_step::kind::cancel) {
+                conclude(address, request.key, first_sent, result);
+                break;
+            }
+            ++counted_.resumes;
+            std::this_thread::sleep_for(std::chrono::milliseconds{step.delay.count()});
+            call = resume_call(address, request, checker.next_index());
+        }
+        if (result.end == backend_end::ended && !result.used) {
+            ++counted_.usage_missing;
+        }
+        return result;
+    }
+
+    result<cancel_result> cancel(const std::string& address, const std::string& key)
+    {
+        http_call call{"POST", url_of(address, "/v1/cancel"), json_headers(),
+                       json{{"key", key}}.dump()};
+        call.connect_timeout = options_.connect_timeout;
+        call.timeout = options_.control_timeout;
+        const auto body = fetch(call);
+        if (!body) {
+            return body.why();
+        }
+        return read_cancel(*body);
+    }
+
+    call_result call(const std::string& address, const plain_call& call)
+    {
+        http_call sent{"POST",
+                       url_of(address, "/v1/calls/" + call.kind),
+                       {{"Content-Type", "application/json"},
+                        {"Idempotency-Key", call.idempotency_key},
+                        {"X-Fencing-Token", call.fencing_token}},
+                       call.body};
+        sent.connect_timeout = options_.connect_timeout;
+        sent.timeout = options_.call_timeout;
+        http_client own_connection;
+        auto reply = own_connection.perform(sent);
+        call_result result;
+        if (reply.error) {
+            result.end = *reply.error == http_error::not_delivered ? backend_end::not_delivered
+                                                                   : backend_end::lost;
+            return result;
+        }
+        result.http_status = reply.status;
+        result.end = judge_call(reply.status, reply.body);
+        result.retry_after = read_refusal(reply.headers, reply.body).retry_after;
+        const auto type = reply.headers.find("content-type");
+        result.content_type = type == reply.headers.end() ? std::string{} : type->second;
+        result.body = std::move(reply.body);
+        return result;
+    }
+
+    result<load_report> load(const std::string& address)
+    {
+        http_call call{"GET", url_of(address, "/v1/load")};
+        call.connect_timeout = options_.connect_timeout;
+        call.timeout = options_.control_timeout;
+        const auto body = fetch(call);
+        if (!body) {
+            return body.why();
+        }
+        load_report report;
+        report.running = number_at(*body, "running", -1);
+        report.queued = number_at(*body, "queued", -1);
+        report.slots = number_at(*body, "slots", -1);
+        report.leaving = flag_at(*body, "leaving");
+        report.age = time_ms{number_at(*body, "age_ms", 0)};
+        if (report.running < 0 || report.queued < 0 || report.slots < 1) {
+            return failure{result_code::malformed_json,
+                           address + " sent a load report without running, queued or slots"};
+        }
+        return report;
+    }
+
+private:
+    static http_headers json_headers() { return {{"Content-Type", "application/json"}}; }
+
+    [[nodiscard]] http_call stream_call(const std::string& address, std::string_view path) const
+    {
+        http_call call{"POST", url_of(address, path), json_headers()};
+        call.connect_timeout = options_.connect_timeout;
+        call.timeout = options_.stream_timeout;
+        call.idle_timeout = options_.idle_timeout;
+        return call;
+    }
+
+    [[nodiscard]] http_call start_call(const std::string& address,
+                                       const engine_request& request) const
+    {
+        auto call = stream_call(address, "/v1/chat/completions");
+        call.headers = start_headers(request);
+        call.body = to_engine_body(request);
+        return call;
+    }
+
+    [[nodiscard]] http_call resume_call(const std::string& address, const engine_request& request,
+                                        std::int64_t from) const
+    {
+        auto call = stream_call(address, "/v1/resume");
+        call.headers["X-Fencing-Token"] = request.fencing_token;
+        call.body = json{{"key", request.key}, {"from", from}}.dump();
+        return call;
+    }
+
+    // Performs one exchange on a connection of its own and says how it ended.
+    attempt_end exchange(http_call& call, stream_checker& checker, const event_sink& sink,
+                         stream_result& result)
+    {
+        stream_reader reader{checker, sink, counted_, result};
+        call.on_data = [&reader](std::string_view bytes) { return reader.take(bytes); };
+        http_client own_connection;
+        const auto reply = own_connection.perform(call);
+        attempt_end ended;
+        ended.next_index = checker.next_index();
+        result.http_status = reply.status;
+        if (checker.complete()) {
+            ended.end = backend_end::ended;
+        } else if (reader.stopped()) {
+            ended.end = backend_end::stopped;
+        } else if (!reply.error && !reply.ok()) {
+            const auto refusal = read_refusal(reply.headers, reply.body);
+            ended.end = judge_engine_error(reply.status, refusal);
+            ended.error_type = refusal.type;
+            result.error_type = refusal.type;
+            result.retry_after = refusal.retry_after;
+        } else if (reply.error == http_error::not_delivered) {
+            ended.end = backend_end::not_delivered;
+        } else {
+            ended.end = count_break(reply, reader);
+        }
+        return ended;
+    }
+
+    backend_end count_break(const http_reply& reply, const stream_reader& reader)
+    {
+        const bool silent = reply.error && reader.silent_for() >= options_.idle_timeout;
+        ++(silent ? counted_.silent : counted_.broken);
+        return silent ? backend_end::silent : backend_end::lost;
+    }
+
+    // Marks a key that the engine does not know, so that a late start of it is refused.
+    void conclude(const std::string& address, const std::string& key, time_ms first_sent,
+                  stream_result& result)
+    {
+        const auto cancelled = cancel(address, key);
+        // Read after the answer, so that the age asked for is not too short.
+        const auto age = clock_.now() - first_sent;
+        const bool certain = cancelled && !cancelled->known && cancelled->records_age > age;
+        result.end = resume_policy::after_cancel(certain);
+        result.key_marked = cancelled.has_value();
+        if (cancelled && cancelled->known) {
+            result.used = cancelled->used;
+        }
+    }
+
+    result<json> fetch(const http_call& call)
+    {
+        const auto reply = control_.perform(call);
+        if (!reply.ok()) {
+            return failure{result_code::backend_lost,
+                           call.url + " gave no answer or status " + std::to_string(reply.status)};
+        }
+        auto body = json::parse(reply.body, nullptr, false);
+        if (!body.is_object()) {
+            return failure{result_code::malformed_json, call.url + " did not answer with JSON"};
+        }
+        return body;
+    }
+
+    backend_options options_;
+    stream_counters counted_;
+    steady_clock_ms clock_;
+    http_client control_;
+};
+
+backend_client::backend_client(const backend_options& options, counters& counted)
+    : impl_{std::make_unique<impl>(options, counted)}
+{
+}
+
+backend_client::~backend_client() = default;
+
+stream_result backend_client::run(const std::string& address, const engine_request& request,
+                                  const event_sink& sink)
+{
+    return impl_->stream(address, request, sink, false);
+}
+
+stream_result backend_client::resume(const std::string& address, const engine_request& request,
+                                     const event_sink& sink)
+{
+    return impl_->stream(address, request, sink, true);
+}
+
+result<cancel_result> backend_client::cancel(const std::string& address, const std::string& key)
+{
+    return impl_->cancel(address, key);
+}
+
+call_result backend_client::call(const std::string& address, const plain_call& call)
+{
+    return impl_->call(address, call);
+}
+
+result<load_report> backend_client::load(const std::string& address)
+{
+    return impl_->load(address);
+}
+
+} // namespace jujubevalve
--- /dev/null
+++ b/modules/backend/backend_refusal.cpp
@@ -0,0 +1,65 @@
+#include "backend/backend_refusal.h"
+
+#include "backend/call_result.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace jujubevalve
+{
+
+namespace
+{
+std::string text_at(const nlohmann::json& object, const char* name)
+{
+    const auto found = object.find(name);
+    return found != object.end() && found->is_string() ? found->get<std::string>() : std::string{};
+}
+
+time_ms read_retry_after(const http_headers& headers)
+{
+    const auto found = headers.find("retry-after");
+    if (found == headers.end()) {
+        return time_ms{0};
+    }
+    std::int64_t value = 0;
+    const auto* const begin = found->second.data();
+    const auto [rest, error] = std::from_chars(begin, begin + found->second.size(), value);
+    const bool valid = error == std::errc{} && value >= 0 && value <= 86'400;
+    return valid ? seconds(value) : time_ms{0};
+}
+} // namespace
+
+backend_refusal read_refusal(const http_headers& headers, const std::string& body)
+{
+    backend_refusal refusal;
+    refusal.retry_after = read_retry_after(headers);
+    const auto parsed = nlohmann::json::parse(body, nullptr, false);
+    if (!parsed.is_object()) {
+        return refusal;
+    }
+    const auto error = parsed.find("error");
+    if (error != parsed.end() && error->is_object()) {
+        refusal.type = text_at(*error, "type");
+        refusal.not_run = text_at(*error, "outcome") == "not_run";
+    }
+    return refusal;
+}
+
+backend_end judge_engine_error(int http_status, const backend_refusal& refusal)
+{
+    // 408 may be sent by an engine that gave up after the run had started.
+    const bool client_error = http_status >= 400 && http_status < 500 && http_status != 408;
+    return client_error || refusal.not_run ? backend_end::refused : backend_end::lost;
+}
+
+backend_end judge_call(int http_status, const std::string& body)
+{
+    if (read_refusal({}, body).not_run) {
+        return backend_end::refused;
+    }
+    const bool open = http_status >= 500 || http_status == 408 || http_status < 200;
+    return open ? backend_end::lost : backend_end::ended;
+}
+
+} // namespace jujubevalve
--- /dev/null
+++ b/modules/backend/backend_refusal.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "backend/backend_end.h"
+#include "core/time_ms.h"
+#include "http/http_message.h"
+
+#include <string>
+
+namespace jujubevalve
+{
+
+/// What a backend server's error response says.
+struct backend_refusal {
+    std::string type;       ///< `error.type`, such as `leaving`; empty if the body has none
+    bool not_run{false};    ///< `error.outcome` is `not_run`
+    time_ms retry_after{0}; ///< from the Retry-After header, 0 if there is none
+
+    friend bool operator==(const backend_refusal&, const backend_refusal&) = default;
+};
+
+/// Reads an error response; a body in another form gives an empty refusal.
+backend_refusal read_refusal(const http_headers& headers, const std::string& body);
+
+/// Judges an engine's response that is not 2xx: `refused` if it is certain that the run did not
+/// start, `lost` otherwise.
+backend_end judge_engine_error(int http_status, const backend_refusal& refusal);
+
+} // namespace jujubevalve
--- a/modules/backend/cancel_result.h
+++ b/modules/backend/cancel_result.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "backend/usage.h"
+#include "core/time_ms.h"
 
 #include <optional>
 #include <string>
@@ -17,6 +18,10 @@
     std::optional<usage> used; ///< final usage of a known run; missing if the engine lost it
     std::string metadata;      ///< as sent with the start
 
+    /// How far the engine's records go back. `known` = false proves that nothing ran only for a
+    /// key that was first sent less than this ago: an engine forgets its runs when it restarts.
+    time_ms records_age{0};
+
     friend bool operator==(const cancel_result&, const cancel_result&) = default;
 };
 
--- /dev/null
+++ b/modules/backend/resume_policy.cpp
@@ -0,0 +1,81 @@
+#include "backend/resume_policy.h"
+
+#include <algorithm>
+
+namespace jujubevalve
+{
+
+resume_policy::resume_policy(resume_limits limits, bool started, std::int64_t first_index)
+    : limits_{limits}
+    , by_other_router_{started}
+    , sent_{started}
+    , first_index_{first_index}
+    , last_index_{first_index}
+{
+}
+
+resume_step resume_policy::after(const attempt_end& ended)
+{
+    if (ended.next_index > last_index_) {
+        last_index_ = ended.next_index;
+        without_progress_ = 0;
+    }
+    switch (ended.end) {
+    case backend_end::ended:
+    case backend_end::stopped:
+        return {resume_step::kind::finish, ended.end, time_ms{0}};
+    case backend_end::refused:
+        return after_refusal(ended);
+    case backend_end::not_delivered:
+        if (!sent_) {
+            return {resume_step::kind::finish, backend_end::not_delivered, time_ms{0}};
+        }
+        break;
+    case backend_end::lost:
+    case backend_end::silent:
+        break;
+    }
+    return resume_or_give_up(ended);
+}
+
+backend_end resume_policy::after_cancel(bool unknown_for_certain)
+{
+    return unknown_for_certain ? backend_end::not_delivered : backend_end::lost;
+}
+
+resume_step resume_policy::after_refusal(const attempt_end& ended)
+{
+    if (ended.error_type == "key_known") {
+        return resume_or_give_up(ended);
+    }
+    if (!sent_) {
+        return {resume_step::kind::finish, backend_end::refused, time_ms{0}};
+    }
+    if (ended.error_type == "unknown_key" && !by_other_router_ && last_index_ == first_index_) {
+        return {resume_step::kind::cancel, backend_end::lost, time_ms{0}};
+    }
+    if (ended.error_type == "unknown_key" || ended.error_type == "cancelled") {
+        return {resume_step::kind::finish, backend_end::lost, time_ms{0}};
+    }
+    return resume_or_give_up(ended);
+}
+
+resume_step resume_policy::resume_or_give_up(const attempt_end& ended)
+{
+    sent_ = true;
+    if (without_progress_ >= limits_.resumes_without_progress) {
+        const auto end = ended.end == backend_end::silent ? backend_end::silent : backend_end::lost;
+        return {resume_step::kind::finish, end, time_ms{0}};
+    }
+    // The first resume after progress starts at once: most breaks concern one connection only.
+    time_ms delay{0};
+    if (without_progress_ > 0) {
+        delay = std::min(limits_.longest_delay,
+                         limits_.first_delay * (std::int64_t{1} << (without_progress_ - 1)));
+    }
+    ++without_progress_;
+    ++resumes_;
+    return {resume_step::kind::resume, ended.end, delay};
+}
+
+} // namespace jujubevalve
--- a/modules/backend/resume_policy.h
+++ b/modules/backend/resume_policy.h
@@ -38,15 +38,17 @@
 class resume_policy
 {
 public:
-    /// `started` is true if the request is known to run already, as when another router sent it.
+    /// `started` is true if another router sent the request; an engine that does not know such a
+    /// request may have forgotten it, so this is never reported as not run.
     resume_policy(resume_limits limits, bool started, std::int64_t first_index = 0);
 
     /// The step after an exchange. `cancel` asks the caller to cancel the key and to report the
     /// answer with `after_cancel`.
     resume_step after(const attempt_end& ended);
 
-    /// The step after a cancel. `answered` tells whether the engine answered, `known` its answer.
-    [[nodiscard]] resume_step after_cancel(bool answered, bool known) const;
+    /// The end after the cancel of a key. `unknown_for_certain` is true if the engine answered that
+    /// it does not know the key and its records go back to before the key was first sent.
+    [[nodiscard]] static backend_end after_cancel(bool unknown_for_certain);
 
     /// Number of resumes asked for so far.
     [[nodiscard]] int resumes() const { return resumes_; }
@@ -56,7 +58,8 @@
     resume_step resume_or_give_up(const attempt_end& ended);
 
     resume_limits limits_;
-    bool started_;
+    bool by_other_router_;
+    bool sent_;
     std::int64_t first_index_;
     std::int64_t last_index_;
     int without_progress_{0};
