--- a/modules/standins/standins.h
+++ b/modules/standins/standins.h
@@ -2,3 +2,11 @@
 
 /// Umbrella header of the standins module: servers that take the place of the platform and of the
 /// backend servers in tests and in the demo.
+#include "standins/engine_answer.h"
+#include "standins/engine_book.h"
+#include "standins/engine_faults.h"
+#include "standins/engine_standin.h"
+#include "standins/fencing_check.h"
+#include "standins/service_answer.h"
+#include "standins/service_standin.h"
+#include "standins/stop_signal.h"
