--- /dev/null
+++ b/modules/standins/tests/backend_standins_tests.cpp
@@ -0,0 +1,318 @@
+#include "backend/backend.h"
+#include "standins/standins.h"
+
+// Before CppUTest, whose macros redefine `new`.
+#include <nlohmann/json.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace jujubevalve;
+
+namespace
+{
+const std::string prompt = "refill the bins at the depot tokens=12";
+
+backend_options quick_options()
+{
+    backend_options options;
+    options.idle_timeout = time_ms{300};
+    options.call_timeout = time_ms{1000};
+    options.resume.first_delay = time_ms{5};
+    return options;
+}
+
+engine_standin_options quick_engine()
+{
+    engine_standin_options options;
+    options.speed.tokens_per_second = 500;
+    options.speed.batching_delay = time_ms{5};
+    options.load_lag = time_ms{50};
+    options.heartbeat = time_ms{50};
+    return options;
+}
+
+engine_request chat(const std::string& key)
+{
+    const nlohmann::json body{{"messages", {{{"role", "user"}, {"content", prompt}}}}};
+    return {key, R"({"budget":"b"})", body.dump(), 3, 100, "1"};
+}
+
+// An engine, a client and the text that the client delivered.
+struct engine_setup {
+    engine_standin engine{quick_engine()};
+    counters counted;
+    backend_client client{quick_options(), counted};
+    std::string text;
+    std::string finish;
+
+    bool take(const engine_event& event)
+    {
+        text += event.text;
+        finish = event.finish;
+        return true;
+    }
+
+    stream_result run(const std::string& key)
+    {
+        return client.run(engine.address(), chat(key),
+                          [this](const auto& event) { return take(event); });
+    }
+
+    stream_result run_with(const engine_faults& faults)
+    {
+        engine.set_faults(faults);
+        return run("i.s.1");
+    }
+
+    // Checks that the answer is whole and holds no token twice.
+    void check_whole(const stream_result& result) const
+    {
+        CHECK(result.end == backend_end::ended);
+        CHECK_EQUAL(engine_answer(prompt, 100).text(), text);
+        CHECK_EQUAL(std::string{"stop"}, finish);
+    }
+};
+
+struct service_setup {
+    service_standin service{{}};
+    counters counted;
+    backend_client client{quick_options(), counted};
+
+    call_result call(const std::string& key)
+    {
+        return client.call(service.address(), {"orders", key, "1", "{}"});
+    }
+};
+} // namespace
+
+TEST_GROUP(engine){};
+
+TEST(engine, streams_the_whole_answer_with_its_usage)
+{
+    engine_setup setup;
+    const auto result = setup.run("i.s.1");
+    setup.check_whole(result);
+    CHECK(result.used == (usage{7, 12}));
+    CHECK_EQUAL(0, result.resumes);
+}
+
+// Guards against missing or doubled tokens after a connection went silent (G3).
+TEST(engine, resumes_a_silent_connection)
+{
+    engine_setup setup;
+    engine_faults faults;
+    faults.silent_connections = 1;
+    faults.silent_after = 5;
+    const auto result = setup.run_with(faults);
+    setup.check_whole(result);
+    CHECK_EQUAL(1, result.resumes);
+    CHECK_EQUAL(1, setup.counted.at("backend_streams_silent").load());
+}
+
+// Guards against a cut stream that is taken for a whole answer or starts over (G3).
+TEST(engine, resumes_a_cut_stream)
+{
+    engine_setup setup;
+    engine_faults faults;
+    faults.cut_connections = 3;
+    faults.cut_after = 4;
+    const auto result = setup.run_with(faults);
+    setup.check_whole(result);
+    CHECK_EQUAL(3, result.resumes);
+    CHECK(result.used == (usage{7, 12}));
+}
+
+// Guards against events of other requests and repeated events in an answer (G3).
+TEST(engine, drops_crossed_and_repeated_events)
+{
+    engine_setup setup;
+    engine_faults faults;
+    faults.crossed_answers = 2;
+    faults.repeated_events = 3;
+    const auto result = setup.run_with(faults);
+    setup.check_whole(result);
+    CHECK_EQUAL(0, result.resumes);
+    CHECK_EQUAL(2, setup.counted.at("backend_events_wrong_key").load());
+    CHECK_EQUAL(3, setup.counted.at("backend_events_repeated").load());
+}
+
+// Guards against an answer with a hole (G3).
+TEST(engine, resumes_after_a_skipped_event)
+{
+    engine_setup setup;
+    engine_faults faults;
+    faults.skipped_events = 1;
+    const auto result = setup.run_with(faults);
+    setup.check_whole(result);
+    CHECK_EQUAL(1, result.resumes);
+    CHECK_EQUAL(1, setup.counted.at("backend_events_skipped").load());
+}
+
+// Guards against made-up usage: without it the router charges the whole reservation.
+TEST(engine, a_missing_usage_stays_missing)
+{
+    engine_setup setup;
+    engine_faults faults;
+    faults.usage_missing = true;
+    const auto result = setup.run_with(faults);
+    setup.check_whole(result);
+    CHECK(!result.used);
+}
+
+// Guards against a start that arrives after recovery has closed the grant (G1).
+TEST(engine, a_start_after_its_cancel_is_refused)
+{
+    engine_setup setup;
+    const auto cancelled = setup.client.cancel(setup.engine.address(), "i.s.1");
+    CHECK(cancelled && !cancelled->known && !cancelled->marked_before);
+    const auto result = setup.run("i.s.1");
+    CHECK(result.end == backend_end::refused);
+    CHECK_EQUAL(std::string{"cancelled"}, result.error_type);
+    CHECK(setup.client.cancel(setup.engine.address(), "i.s.1")->marked_before);
+}
+
+// Guards against recovery that cannot charge an ended run to its budget.
+TEST(engine, cancel_of_an_ended_run_returns_usage_and_metadata)
+{
+    engine_setup setup;
+    setup.run("i.s.1");
+    const auto cancelled = setup.client.cancel(setup.engine.address(), "i.s.1");
+    CHECK(cancelled && cancelled->known && cancelled->finished);
+    CHECK(cancelled->used == (usage{7, 12}));
+    CHECK_EQUAL(std::string{R"({"budget":"b"})"}, cancelled->metadata);
+}
+
+// Guards against tokens generated for a caller that has left.
+TEST(engine, a_stopped_run_can_be_cancelled_with_its_usage)
+{
+    engine_setup setup;
+    const auto result = setup.client.run(setup.engine.address(), chat("i.s.1"),
+                                         [](const auto& event) { return event.index < 2; });
+    CHECK(result.end == backend_end::stopped);
+    CHECK_EQUAL(3, result.next_index);
+    const auto cancelled = setup.client.cancel(setup.engine.address(), "i.s.1");
+    CHECK(cancelled && cancelled->known && cancelled->used);
+    CHECK(cancelled->used->completion_tokens >= 3);
+}
+
+// Guards against a run that ends with the router that started it.
+TEST(engine, another_client_resumes_from_the_start)
+{
+    engine_setup setup;
+    CHECK(setup.client.run(setup.engine.address(), chat("i.s.1"), [](const auto&) { return false; })
+              .end == backend_end::stopped);
+    backend_client second{quick_options(), setup.counted};
+    const auto result = second.resume(setup.engine.address(), chat("i.s.1"),
+                                      [&](const auto& event) { return setup.take(event); });
+    setup.check_whole(result);
+}
+
+// Guards against "outcome unknown" where it is certain that nothing ran (G4).
+TEST(engine, a_refused_connection_is_not_delivered)
+{
+    counters counted;
+    backend_client client{quick_options(), counted};
+    std::string address;
+    {
+        const engine_standin gone{{}};
+        address = gone.address();
+    }
+    const auto ignore = [](const auto&) { return true; };
+    CHECK(client.run(address, chat("i.s.1"), ignore).end == backend_end::not_delivered);
+    CHECK(client.resume(address, chat("i.s.1"), ignore).end == backend_end::lost);
+    CHECK(client.call(address, {"orders", "k", "", "{}"}).end == backend_end::not_delivered);
+    CHECK(!client.load(address));
+    CHECK(!client.cancel(address, "i.s.1"));
+}
+
+TEST(engine, reports_its_load_with_a_lag)
+{
+    engine_setup setup;
+    const auto report = setup.client.load(setup.engine.address());
+    CHECK(report && report->slots == 8 && report->running == 0 && !report->leaving);
+}
+
+TEST_GROUP(book)
+{
+    engine_speed speed{1, 1, 1000, time_ms{10}, time_ms{1000}};
+    engine_book book{speed, time_ms{0}};
+
+    engine_denial start(const std::string& key, int priority, time_ms now)
+    {
+        return book.start({key, R"({"budget":"b"})", "two words", 5, priority}, now);
+    }
+};
+
+// Guards against a queue that ignores the priority or grows without bound.
+TEST(book, queues_by_priority_up_to_its_limit)
+{
+    CHECK(start("a", 0, time_ms{0}) == engine_denial::none);
+    CHECK(start("b", 0, time_ms{0}) == engine_denial::none);
+    CHECK(start("c", 9, time_ms{0}) == engine_denial::queue_full);
+    CHECK_EQUAL(1, book.load().queued);
+}
+
+// Guards against spend that a cancel of a queued run reports although nothing ran.
+TEST(book, a_cancelled_queued_run_has_no_usage)
+{
+    start("a", 0, time_ms{0});
+    start("b", 0, time_ms{0});
+    CHECK(book.cancel("b", time_ms{5}).used == (usage{0, 0}));
+    CHECK(start("b", 0, time_ms{6}) == engine_denial::cancelled);
+    CHECK(book.runs().count("b") == 0);
+    book.advance(time_ms{100});
+    CHECK_EQUAL(2, book.spend().at("b").prompt_tokens);
+    CHECK_EQUAL(5, book.spend().at("b").completion_tokens);
+}
+
+// Guards against a proof of "did not run" that reaches back further than the records.
+TEST(book, forgets_after_the_retention_and_says_how_far_back_it_knows)
+{
+    start("a", 0, time_ms{0});
+    book.advance(time_ms{100});
+    CHECK(book.cancel("a", time_ms{500}).known);
+    book.advance(time_ms{5000});
+    const auto cancelled = book.cancel("a", time_ms{5000});
+    CHECK(!cancelled.known);
+    CHECK(cancelled.records_age == time_ms{1000});
+}
+
+TEST_GROUP(plain_service){};
+
+TEST(plain_service, answers_what_the_caller_can_check)
+{
+    service_setup setup;
+    const auto result = setup.call("k");
+    CHECK(result.end == backend_end::ended);
+    CHECK_EQUAL(service_answer("orders", "{}"),
+                nlohmann::json::parse(result.body).at("answer").get<std::string>());
+}
+
+// Guards against a call that is sent again by itself, or said not to have run (G4, G5).
+TEST(plain_service, an_answer_lost_after_the_run_is_lost_and_ran_once)
+{
+    service_setup setup;
+    setup.call("first");
+    setup.service.set_faults({1});
+    CHECK(setup.call("k").end == backend_end::lost);
+    CHECK_EQUAL(1, setup.service.runs("k"));
+    setup.service.set_faults({0, 1});
+    CHECK(setup.call("l").end == backend_end::lost);
+    CHECK_EQUAL(0, setup.service.runs("l"));
+    setup.service.set_faults({0, 0, 1});
+    CHECK(setup.call("m").end == backend_end::lost);
+    CHECK_EQUAL(1, setup.service.runs("m"));
+}
+
+TEST_GROUP(fencing){};
+
+// Guards against an old operator's order that is accepted after a new one's.
+TEST(fencing, refuses_a_lower_token)
+{
+    fencing_check check;
+    CHECK(check.accept("9.1"));
+    CHECK(check.accept("10"));
+    CHECK(!check.accept("9.2"));
+    CHECK(!check.accept(""));
+    CHECK(check.accept("10"));
+}
