Add the public headers of the budget and recovery modules

A recovery covers a group of gone incarnations, because the transfers between two dead members are known to no live peer: closing them one by one could give back tokens that the other has spent.

--- /dev/null
+++ b/modules/budget/budget.cpp
@@ -0,0 +1,1 @@
+#include "budget/budget.h"
--- /dev/null
+++ b/modules/budget/instance_row.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "core/result.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace jujubevalve
+{
+
+/// `active`: running, or dead and not yet found so. `drained`: closed all its grants itself and
+/// exited. `recovering`: gone, its grants are being closed. `closed`: gone and all grants closed.
+enum class incarnation_state { active, drained, recovering, closed };
+
+/// What the platform knows of one run of a router process.
+struct instance_row {
+    std::string instance;
+    std::string incarnation;
+    std::string http_address;
+    std::string peer_address;
+    std::string failure_domain;
+    std::string region;
+    std::int64_t term{0};
+    incarnation_state state{incarnation_state::active};
+    std::optional<std::int64_t> final_segment; ///< number of the last segment, once it is known
+
+    friend bool operator==(const instance_row&, const instance_row&) = default;
+};
+
+/// Writes the row as JSON.
+std::string to_text(const instance_row& row);
+
+/// Reads the row. Fails with `malformed_row`.
+result<instance_row> parse_instance_row(std::string_view text);
+
+} // namespace jujubevalve
--- /dev/null
+++ b/modules/budget/ledger_row.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "core/result.h"
+#include "core/tokens.h"
+
+#include <string>
+#include <string_view>
+
+namespace jujubevalve
+{
+
+/// The ledger of one budget.
+struct ledger_row {
+    token_count allocated{0}; ///< sum of `granted` over the budget's grant rows
+
+    friend bool operator==(const ledger_row&, const ledger_row&) = default;
+};
+
+/// Writes the row as JSON.
+std::string to_text(const ledger_row& row);
+
+/// Reads the row. An empty text is the absent row, with nothing allocated. Fails with
+/// `malformed_row`.
+result<ledger_row> parse_ledger_row(std::string_view text);
+
+} // namespace jujubevalve
--- /dev/null
+++ b/modules/budget/static_shares.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "budget/grant_policy.h"
+
+namespace jujubevalve
+{
+
+/// Baseline: each instance gets an equal share of the budget once and nothing after that.
+class static_shares
+{
+public:
+    /// Tokens to add or return, see `grant_policy`.
+    [[nodiscard]] token_count wanted(const grant_facts& facts) const
+    {
+        return facts.first_grant ? facts.grantable / std::max<std::int64_t>(1, facts.live_instances)
+                                 : 0;
+    }
+};
+
+static_assert(grant_policy<static_shares>);
+
+} // namespace jujubevalve
--- /dev/null
+++ b/modules/recovery/recovery.cpp
@@ -0,0 +1,1 @@
+#include "recovery/recovery.h"
