--- a/modules/budget/budget.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "budget/budget.h"
--- /dev/null
+++ b/modules/budget/demand_driven.cpp
@@ -0,0 +1,55 @@
+#include "budget/demand_driven.h"
+
+#include <algorithm>
+
+namespace jujubevalve
+{
+
+demand_driven::demand_driven(time_ms horizon, std::int64_t limit_divisor)
+    : horizon_{horizon}
+    , limit_divisor_{std::max<std::int64_t>(1, limit_divisor)}
+{
+}
+
+token_count demand_driven::target(const grant_facts& facts, token_count free) const
+{
+    const auto live = std::max<std::int64_t>(1, facts.live_instances);
+    const auto stock =
+        static_cast<token_count>(facts.demand_per_ms * static_cast<double>(horizon_.count()));
+    const auto wish = std::max(stock, facts.shortage);
+    const auto bound =
+        std::min(facts.limit / limit_divisor_, std::max<token_count>(0, free) / (2 * live));
+    return std::max(std::min(wish, bound), facts.request);
+}
+
+token_count demand_driven::wanted(const grant_facts& facts) const
+{
+    const auto goal = target(facts, facts.free);
+    const bool is_short = facts.available < (goal + 1) / 2 || facts.shortage > facts.available;
+    if (!is_short) {
+        return -surplus(facts);
+    }
+    const auto least = facts.shortage > 0 ? facts.request : 1;
+    // Less than one request cannot be used here, but perhaps by an instance with smaller ones.
+    if (facts.free <= 0 || facts.available + facts.free < least) {
+        return -surplus(facts);
+    }
+    return std::clamp<token_count>(goal - facts.available, 0, facts.free);
+}
+
+token_count demand_driven::surplus(const grant_facts& facts) const
+{
+    // Below this part of the grantable tokens the instances compete for them.
+    constexpr token_count low_free_divisor = 20;
+    const bool is_low = facts.free < facts.grantable / low_free_divisor;
+    if (!is_low || facts.available <= 0) {
+        return 0;
+    }
+    if (facts.available < facts.request && facts.reserved == 0) {
+        return facts.available;
+    }
+    const auto goal = target(facts, facts.free + facts.available);
+    return facts.available > 2 * goal ? facts.available - goal : 0;
+}
+
+} // namespace jujubevalve
--- /dev/null
+++ b/modules/budget/demand_rate.cpp
@@ -0,0 +1,44 @@
+#include "budget/demand_rate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jujubevalve
+{
+
+namespace
+{
+// A single request at the first moment must not count as a rate of its size per millisecond.
+constexpr time_ms least_age = seconds(10);
+} // namespace
+
+demand_rate::demand_rate(time_ms time_constant)
+    : time_constant_{time_constant}
+{
+}
+
+void demand_rate::add(token_count tokens, time_ms now)
+{
+    if (!started_) {
+        started_ = true;
+        first_ = now;
+        last_ = now;
+    }
+    const auto tau = static_cast<double>(time_constant_.count());
+    weighted_ *= std::exp(-static_cast<double>((now - last_).count()) / tau);
+    weighted_ += static_cast<double>(tokens) / tau;
+    last_ = now;
+}
+
+double demand_rate::per_ms(time_ms now) const
+{
+    if (!started_) {
+        return 0;
+    }
+    const auto tau = static_cast<double>(time_constant_.count());
+    const auto age = static_cast<double>(std::max(now - first_, least_age).count());
+    const auto decay = std::exp(-static_cast<double>((now - last_).count()) / tau);
+    return weighted_ * decay / (1 - std::exp(-age / tau));
+}
+
+} // namespace jujubevalve
--- a/modules/budget/grant_book.h
+++ b/modules/budget/grant_book.h
@@ -51,7 +51,7 @@
     std::int64_t row_version{0};       ///< version that the change is conditional on
     std::size_t write_index{0};        ///< position of the grant row among the writes
     incarnation_totals received;       ///< totals that the change records
-    incarnation_totals sent;           ///< totals that the change records
+    token_count free_after{0};         ///< free part of the ledger after the change
     bool closed{false};                ///< the change closes the grant
     std::vector<std::string> row_keys; ///< rows whose conflict concerns this change only
 
@@ -89,6 +89,7 @@
     std::int64_t refills_conflicted{0};
     std::int64_t refills_unknown{0};
     std::int64_t refills_unavailable{0};
+    std::int64_t unreadable_rows{0};
 
     friend bool operator==(const grant_counts&, const grant_counts&) = default;
 };
@@ -176,9 +177,18 @@
     [[nodiscard]] grant_facts facts(std::string_view budget, std::int64_t live_instances,
                                     time_ms now) const;
 
+    /// Whether nobody has asked for the budget for `refill_timing::idle_after`.
+    [[nodiscard]] bool is_idle(std::string_view budget, time_ms now) const;
+
     /// Takes over rows that were read. Stops the book if another has closed the grant.
     void observe(const budget_observation& seen, time_ms now);
 
+    /// Whether a write of the grant row is in flight or its answer was lost.
+    [[nodiscard]] bool has_open_write(std::string_view budget) const;
+
+    /// Counts a budget that was left out because a row of it is malformed or its pool is missing.
+    void note_unreadable() { ++counts_.unreadable_rows; }
+
     /// Notes a change that is about to be sent; a return is debited from now on.
     void begin_change(const planned_change& change);
 
@@ -201,17 +211,21 @@
     /// Whether the last call to the platform got an answer.
     [[nodiscard]] bool platform_reachable() const { return platform_reachable_; }
 
-    /// Forgets budgets with nothing granted, reserved, spent or sent that is not recorded.
+    /// Forgets budgets that are idle, have returned all they can and took part in no transfer.
+    /// Their cumulative spend is kept.
     void drop_unused(time_ms now);
 
     /// Debits a transfer to a peer. Fails without effect if less is available.
     bool debit_transfer(std::string_view budget, std::string_view to, token_count tokens);
-    /// The peer has credited `total` tokens so far.
-    void confirm_sent(std::string_view budget, std::string_view to, token_count total);
+    /// The peer has credited a transfer.
+    void confirm_sent(std::string_view budget, std::string_view to, token_count tokens);
+    /// The peer will never credit a transfer.
+    void undo_transfer(std::string_view budget, std::string_view to, token_count tokens);
     /// The peer is closed and has credited `total` in all; the rest is available again.
     void resolve_sent(std::string_view budget, std::string_view to, token_count total);
     /// Credits a transfer from a peer.
-    void credit_transfer(std::string_view budget, std::string_view from, token_count tokens);
+    void credit_transfer(std::string_view budget, std::string_view from, token_count tokens,
+                         time_ms now);
     /// Totals debited for transfers, by receiver.
     [[nodiscard]] incarnation_totals sent(std::string_view budget) const;
     /// Totals credited by the receivers as far as known.
@@ -242,7 +256,6 @@
         incarnation_totals confirmed;
         incarnation_totals received;
         incarnation_totals recorded_received;
-        incarnation_totals recorded_sent;
         demand_rate demand;
         token_count request{1};
         token_count shortage{0};
@@ -255,7 +268,8 @@
         bool alone{false};
         bool spend_changed{false};
         bool closed{false};
-        bool look{true};
+        bool close_sent{false};
+        bool look{false};
         time_ms next_try{};
         time_ms next_look{};
         time_ms last_use{};
@@ -265,6 +279,7 @@
         [[nodiscard]] token_count held() const;
         [[nodiscard]] token_count available() const { return held() - spent - reserved; }
         [[nodiscard]] bool has_unconfirmed() const;
+        [[nodiscard]] std::vector<std::string> unrecorded_senders() const;
     };
 
     struct reservation {
@@ -278,11 +293,14 @@
     refill_batch plan_refill_where(time_ms now, const Wants& wants, std::int64_t live_instances)
     {
         refill_batch batch;
+        if (!may_plan(now)) {
+            return batch;
+        }
         for (auto& [name, item] : entries_) {
             if (!is_due(item, now) || (item.alone && !batch.empty())) {
                 continue;
             }
-            const bool idle = is_idle(item, now);
+            const bool idle = is_idle(item, now) && item.available() > 0;
             if (!must_look(item, now) && !idle && !wants(facts_of(item, live_instances, now))) {
                 continue;
             }
@@ -295,6 +313,7 @@
         return batch;
     }
 
+    [[nodiscard]] bool may_plan(time_ms now) const;
     [[nodiscard]] bool is_due(const entry& item, time_ms now) const;
     [[nodiscard]] bool must_look(const entry& item, time_ms now) const;
     [[nodiscard]] bool is_idle(const entry& item, time_ms now) const;
@@ -302,11 +321,16 @@
                                        time_ms now) const;
     [[nodiscard]] const entry* find(std::string_view budget) const;
     entry& at(std::string_view budget, time_ms now);
-    reserve_outcome refuse(entry& item, token_count tokens);
-    void charge(entry& item, token_count tokens, time_ms now);
+    reserve_outcome refuse(entry& item, token_count tokens, time_ms now);
+    [[nodiscard]] time_ms jittered(std::string_view budget, std::int64_t attempt,
+                                   time_ms delay) const;
     void back_off(std::string_view budget, entry& item, time_ms now);
+    [[nodiscard]] time_ms look_interval(std::string_view budget, const entry& item) const;
+    void looked(std::string_view budget, entry& item, time_ms now);
+    void note_platform(bool reachable, time_ms now);
     void apply_committed(const planned_refill& planned, const commit_result& outcome, time_ms now);
     void apply_conflict(const planned_refill& planned, const commit_result& outcome, time_ms now);
+    void apply_failed(const planned_refill& planned, bool may_apply, time_ms now);
 
     std::string incarnation_;
     refill_timing timing_;
@@ -314,7 +338,10 @@
     std::unordered_map<reservation_id, reservation> reservations_;
     reservation_id last_id_{0};
     grant_counts counts_;
+    std::unordered_map<std::uint64_t, token_count> dropped_spent_; ///< by hash of the budget
     bool platform_reachable_{true};
+    std::int64_t platform_failures_{0};
+    time_ms next_probe_{};
     bool closing_{false};
     bool fenced_{false};
     bool stopped_{false};
--- a/modules/budget/grant_planner.h
+++ b/modules/budget/grant_planner.h
@@ -34,7 +34,9 @@
     /// Builds the transaction from the rows of `read_set` and notes in the book what is about to
     /// be sent. Budgets that need no change are left out; an empty plan must not be committed and
     /// is passed to `grant_book::give_up`. Fails with `term_fenced` or `stopped`, which the book
-    /// remembers. Rows that cannot be read (`malformed_row`) leave their budget out.
+    /// remembers, and with `malformed_row` if the term or instance row is missing; pass the batch
+    /// to `grant_book::give_up` then. Other rows that cannot be read leave their budget out and are
+    /// counted.
     template <grant_policy Policy>
     result<planned_refill> build(grant_book& book, const Policy& policy,
                                  std::int64_t live_instances, const refill_batch& batch,
@@ -61,8 +63,11 @@
     [[nodiscard]] token_count change_of(const grant_book& book, const std::string& budget,
                                         std::int64_t live_instances, time_ms now,
                                         const wanted_function& wanted) const;
-    void add_change(planned_refill& planned, const grant_book& book, const budget_observation& seen,
-                    token_count delta, bool close, const row_map& rows) const;
+    void add_if_needed(planned_refill& planned, grant_book& book, const budget_observation& seen,
+                       bool close, const row_map& rows, token_count delta) const;
+    [[nodiscard]] status add_change(planned_refill& planned, const grant_book& book,
+                                    const budget_observation& seen, token_count delta, bool close,
+                                    const row_map& rows) const;
 
     std::string incarnation_;
     std::int64_t term_;
--- a/modules/budget/grant_policy.h
+++ b/modules/budget/grant_policy.h
@@ -16,7 +16,7 @@
     token_count limit{0};           ///< of the budget
     token_count grantable{0};       ///< limit less the safety margin
     token_count free{0};            ///< grantable and not allocated
-    token_count granted{0};         ///< to this incarnation, less spent tokens it cannot return
+    token_count granted{0};         ///< to this incarnation, spent tokens included
     token_count available{0};       ///< of the grant, neither spent nor reserved nor sent
     token_count reserved{0};        ///< by requests in flight
     token_count request{1};         ///< largest reservation asked for lately
--- /dev/null
+++ b/modules/budget/grant_row.cpp
@@ -0,0 +1,79 @@
+#include "budget/grant_row.h"
+
+#include "budget/json_fields.h"
+
+#include <algorithm>
+#include <numeric>
+#include <stdexcept>
+
+namespace jujubevalve
+{
+
+namespace
+{
+incarnation_totals read_totals(const nlohmann::json& object, const char* name)
+{
+    const auto found = object.find(name);
+    if (found == object.end() || !found->is_object()) {
+        throw std::invalid_argument{std::string{"field "} + name + " is not an object"};
+    }
+    incarnation_totals totals;
+    for (const auto& [incarnation, unused] : found->items()) {
+        totals[incarnation] = json_fields::tokens(*found, incarnation.c_str());
+    }
+    return totals;
+}
+
+nlohmann::json totals_object(const incarnation_totals& totals)
+{
+    auto object = nlohmann::json::object();
+    for (const auto& [incarnation, total] : totals) {
+        object[incarnation] = total;
+    }
+    return object;
+}
+} // namespace
+
+token_count sum_of(const incarnation_totals& totals)
+{
+    return std::accumulate(totals.begin(), totals.end(), token_count{0},
+                           [](token_count sum, const auto& item) { return sum + item.second; });
+}
+
+incarnation_totals larger_of(incarnation_totals a, const incarnation_totals& b)
+{
+    for (const auto& [incarnation, total] : b) {
+        auto& kept = a[incarnation];
+        kept = std::max(kept, total);
+    }
+    return a;
+}
+
+std::string to_text(const grant_row& row)
+{
+    return nlohmann::json{{"granted", row.granted},
+                          {"seq", row.seq},
+                          {"sent", totals_object(row.sent)},
+                          {"received", totals_object(row.received)},
+                          {"closed", row.closed}}
+        .dump();
+}
+
+result<grant_row> parse_grant_row(std::string_view text)
+{
+    if (text.empty()) {
+        return grant_row{};
+    }
+    return json_fields::read<grant_row>(text, "grant row", [](const nlohmann::json& object) {
+        grant_row row;
+        row.granted =
+            json_fields::whole_number(object, "granted", -max_token_count, max_token_count);
+        row.seq = json_fields::whole_number(object, "seq", 0, INT64_MAX);
+        row.sent = read_totals(object, "sent");
+        row.received = read_totals(object, "received");
+        row.closed = json_fields::truth(object, "closed");
+        return row;
+    });
+}
+
+} // namespace jujubevalve
--- /dev/null
+++ b/modules/budget/reclaim_by_time.cpp
@@ -0,0 +1,19 @@
+#include "budget/reclaim_by_time.h"
+
+namespace jujubevalve
+{
+
+reclaim_by_time::reclaim_by_time(time_ms lease, demand_driven base)
+    : lease_{lease}
+    , base_{base}
+{
+}
+
+void reclaim_by_time::reclaim(ledger_row& ledger, grant_row& grant, token_count settled_spend)
+{
+    const auto rest = grant.granted - settled_spend;
+    grant.granted -= rest;
+    ledger.allocated -= rest;
+}
+
+} // namespace jujubevalve
--- /dev/null
+++ b/modules/budget/transfer_book.cpp
@@ -0,0 +1,111 @@
+#include "budget/transfer_book.h"
+
+#include <utility>
+
+namespace jujubevalve
+{
+
+transfer_book::transfer_book(grant_book& book)
+    : book_{book}
+{
+}
+
+std::optional<transfer> transfer_book::send(std::string_view to, std::string_view budget,
+                                            token_count amount)
+{
+    if (refuse_all_ || refused_.contains(to) || to == book_.incarnation()) {
+        return std::nullopt;
+    }
+    if (!book_.debit_transfer(budget, to, amount)) {
+        return std::nullopt;
+    }
+    const auto n = ++last_sent_.try_emplace(std::string{to}, 0).first->second;
+    transfer message{book_.incarnation(), std::string{to}, n, std::string{budget}, amount};
+    pending_.emplace(std::pair{std::string{to}, n}, message);
+    return message;
+}
+
+std::vector<transfer> transfer_book::unacknowledged() const
+{
+    std::vector<transfer> messages;
+    messages.reserve(pending_.size());
+    for (const auto& [key, message] : pending_) {
+        messages.push_back(message);
+    }
+    return messages;
+}
+
+void transfer_book::acknowledge(std::string_view to, std::int64_t n)
+{
+    const auto found = pending_.find(std::pair{std::string{to}, n});
+    if (found == pending_.end()) {
+        return;
+    }
+    book_.confirm_sent(found->second.budget, to, found->second.amount);
+    pending_.erase(found);
+}
+
+void transfer_book::take_back(std::string_view to, std::int64_t n)
+{
+    refused_.insert(std::string{to});
+    const auto found = pending_.find(std::pair{std::string{to}, n});
+    if (found == pending_.end()) {
+        return;
+    }
+    book_.undo_transfer(found->second.budget, to, found->second.amount);
+    pending_.erase(found);
+}
+
+result<transfer_answer> transfer_book::receive(const transfer& message, time_ms now)
+{
+    if (message.to != book_.incarnation() || message.n < 1 || message.amount < 1 ||
+        message.amount > max_token_count || message.budget.empty()) {
+        return failure{result_code::invalid_field, "transfer: receiver, number or amount is wrong"};
+    }
+    auto& numbers = credited_[message.from];
+    if (message.n <= numbers.up_to || numbers.beyond.contains(message.n)) {
+        return transfer_answer::credited;
+    }
+    if (refuse_all_ || refused_.contains(message.from)) {
+        return transfer_answer::refused;
+    }
+    book_.credit_transfer(message.budget, message.from, message.amount, now);
+    numbers.beyond.insert(message.n);
+    while (numbers.beyond.erase(numbers.up_to + 1) > 0) {
+        ++numbers.up_to;
+    }
+    return transfer_answer::credited;
+}
+
+std::vector<transfer_totals> transfer_book::totals_for_recovery(std::string_view gone)
+{
+    refused_.insert(std::string{gone});
+    std::vector<transfer_totals> totals;
+    for (const auto& budget : book_.budgets()) {
+        const auto sent = book_.sent(budget);
+        const auto received = book_.received(budget);
+        const auto to = sent.find(gone);
+        const auto from = received.find(gone);
+        const transfer_totals item{budget, to == sent.end() ? 0 : to->second,
+                                   from == received.end() ? 0 : from->second};
+        if (item.sent == 0 && item.received == 0) {
+            continue;
+        }
+        totals.push_back(item);
+        // The recovery counts every token sent as received, so none may be taken back later.
+        book_.resolve_sent(budget, gone, item.sent);
+    }
+    std::erase_if(pending_, [gone](const auto& item) { return item.first.first == gone; });
+    return totals;
+}
+
+void transfer_book::settle_closed(std::string_view to, std::string_view budget, token_count total)
+{
+    refused_.insert(std::string{to});
+    book_.resolve_sent(budget, to, total);
+    std::erase_if(pending_, [to, budget](const auto& item) {
+        return item.first.first == to && item.second.budget == budget;
+    });
+}
+
+} // namespace jujubevalve
--- a/modules/budget/transfer_book.h
+++ b/modules/budget/transfer_book.h
@@ -24,9 +24,8 @@
     friend bool operator==(const transfer&, const transfer&) = default;
 };
 
-/// The receiver's answer. `credited`: now or earlier; the sender need not repeat it. `refused`: it
-/// was not and will not be credited; the sender keeps it debited until the receiver's close or a
-/// recovery settles the totals.
+/// The receiver's answer. `credited`: now or earlier. `refused`: it is not credited and never will
+/// be, so the sender may take it back.
 enum class transfer_answer { credited, refused };
 
 /// Totals between the answering incarnation and another one under one budget.
@@ -55,9 +54,12 @@
     /// The receiver answered `credited`. Ignores numbers that are not outstanding.
     void acknowledge(std::string_view to, std::int64_t n);
 
+    /// The receiver answered `refused`: the tokens are available again, nothing more is sent to it.
+    void take_back(std::string_view to, std::int64_t n);
+
     /// Receives a message and credits it unless it was credited before. Fails with
     /// `invalid_field` for a message that is not for this incarnation or has no valid amount.
-    result<transfer_answer> receive(const transfer& message);
+    result<transfer_answer> receive(const transfer& message, time_ms now);
 
     /// Answers a recovery of `gone`: the totals exchanged with it. From now on transfers from it
     /// are refused and none is sent to it.
