--- /dev/null
+++ b/modules/membership/membership.h
@@ -0,0 +1,9 @@
+#pragma once
+
+/// Umbrella header of the membership module: the view of the other instances.
+#include "membership/address_list.h"
+#include "membership/budget_hints.h"
+#include "membership/gossip_digest.h"
+#include "membership/member_entry.h"
+#include "membership/member_table.h"
+#include "membership/membership_settings.h"
