--- a/modules/membership/budget_hints.h
+++ b/modules/membership/budget_hints.h
@@ -4,7 +4,6 @@
 #include "membership/membership_settings.h"
 
 #include <map>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,11 +27,12 @@
     /// Adds what a digest says.
     void merge(const gossip_digest& digest, time_ms now);
 
-    /// Fills the hint fields of a digest of this incarnation.
-    void fill(gossip_digest& digest, time_ms now);
+    /// Fills the hint fields of a digest of this incarnation: budgets that are sought, hints about
+    /// budgets that somebody seeks, then up to `unasked` hints about own budgets in rotation.
+    void fill(gossip_digest& digest, time_ms now, std::size_t unasked);
 
-    /// The incarnation with the most of a budget, by hints that have not expired.
-    [[nodiscard]] std::optional<budget_hint> best(std::string_view budget, time_ms now) const;
+    /// Hints about a budget that have not expired, the largest amount first.
+    [[nodiscard]] std::vector<budget_hint> ranked(std::string_view budget, time_ms now) const;
 
     /// Drops all hints of an incarnation.
     void forget(member_id id);
@@ -47,8 +47,8 @@
     using hint_key = std::pair<std::string, member_id>;
 
     void add(const budget_hint& hint, time_ms now);
-    void add_own(gossip_digest& digest, std::string_view budget) const;
-    void add_heard(gossip_digest& digest, std::string_view budget, time_ms now) const;
+    void add_about(gossip_digest& digest, std::string_view budget, time_ms now) const;
+    void add_own(gossip_digest& digest, std::size_t count);
     void expire(time_ms now);
 
     membership_settings settings_;
--- a/modules/membership/member_table.h
+++ b/modules/membership/member_table.h
@@ -8,7 +8,6 @@
 #include <map>
 #include <optional>
 #include <random>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -66,9 +65,9 @@
     /// The digest to send to a peer, as request or as answer.
     [[nodiscard]] gossip_digest make_digest(time_ms now);
 
-    /// Takes up a digest. `from_address` is the peer address that was called, empty for a request
-    /// from a peer. Entries of the own instance under another incarnation are outdated and ignored.
-    void merge(const gossip_digest& digest, time_ms now, std::string_view from_address = {});
+    /// Takes up a digest. Entries of this instance and peer address under another incarnation are
+    /// predecessors, because this process holds the address.
+    void merge(const gossip_digest& digest, time_ms now);
 
     /// Merges a request and makes the answer, with the details that the request wants.
     [[nodiscard]] gossip_digest answer(const gossip_digest& request, time_ms now);
@@ -105,29 +104,42 @@
     struct known_member {
         member_entry entry;
         time_ms last_progress{};
-        int sends_left{0};        ///< times that a new or changed entry is still sent first
-        int detail_sends_left{0}; ///< times that the details are still sent unasked
-        std::int64_t sent_heartbeat{0};
-        std::int64_t last_sent{0}; ///< number of the digest that last held it
+        int sends_left{0};        ///< digests that still hold the heartbeat before all others
+        int detail_sends_left{0}; ///< digests that still hold the details unasked
+        std::int64_t last_sent{0};
+    };
+    struct unknown_member {
+        heartbeat_item item;
+        time_ms heard_at{};
+    };
+    struct successor {
+        std::int64_t started_ms{0};
     };
 
     [[nodiscard]] bool is_suspected(const known_member& member, time_ms now) const;
+    [[nodiscard]] int rumour_sends() const;
     void merge_heartbeat(const heartbeat_item& item, time_ms now);
+    void merge_unknown(const heartbeat_item& item, time_ms now);
     void merge_detail(const member_entry& detail, time_ms now);
-    void replace_older_incarnations(const member_entry& newer);
+    void outlive(const member_entry& older);
+    void insert(const member_entry& detail, time_ms now);
+    bool yields_to_present(const member_entry& detail);
+    void supersede(std::string_view older, std::int64_t started_ms);
+    void note_wanted(const std::vector<member_id>& wanted);
     void add_heartbeats(gossip_digest& digest, time_ms now);
     void add_details(gossip_digest& digest);
+    void add_wanted(gossip_digest& digest);
+    void add_wanted_details(gossip_digest& digest, const gossip_digest& request) const;
     void forget_dead(time_ms now);
-    [[nodiscard]] int rumour_sends() const;
 
     member_entry own_;
+    member_id own_id_{0};
     std::vector<std::string> seeds_;
     membership_settings settings_;
     std::mt19937 random_;
     std::map<member_id, known_member> members_;
-    std::map<member_id, heartbeat_item> unknown_; ///< heard of without details
-    std::set<std::string, std::less<>> superseded_;
-    std::vector<std::string> superseded_order_;
+    std::map<member_id, unknown_member> unknown_; ///< heard of without details
+    std::map<member_id, successor> superseded_;
     int own_detail_sends_left_{0};
     std::int64_t digests_made_{0};
     budget_hints hints_;
--- /dev/null
+++ b/modules/peer/message_codec.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "peer/gen/peer_types.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+namespace jujubevalve
+{
+
+/// Name on the wire and type of the answer of each request.
+template <class Request>
+struct message_traits;
+
+template <>
+struct message_traits<wire::gossip> {
+    static constexpr const char* name = "gossip";
+    using reply = wire::gossip;
+};
+template <>
+struct message_traits<wire::config_request> {
+    static constexpr const char* name = "config";
+    using reply = wire::config_reply;
+};
+template <>
+struct message_traits<wire::forward_request> {
+    static constexpr const char* name = "forward";
+    using reply = wire::forward_reply;
+};
+template <>
+struct message_traits<wire::transfer_request> {
+    static constexpr const char* name = "request_transfer";
+    using reply = wire::transfer_reply;
+};
+template <>
+struct message_traits<wire::transfer_offer> {
+    static constexpr const char* name = "offer_transfer";
+    using reply = wire::transfer_ack;
+};
+template <>
+struct message_traits<wire::received_query> {
+    static constexpr const char* name = "query_received";
+    using reply = wire::received_reply;
+};
+
+using message_type = apache::thrift::protocol::TMessageType;
+
+/// Writes a struct without an envelope, in the compact protocol.
+template <class Body>
+std::string encode(const Body& body)
+{
+    const auto memory = std::make_shared<apache::thrift::transport::TMemoryBuffer>();
+    apache::thrift::protocol::TCompactProtocol protocol{memory};
+    body.write(&protocol);
+    return memory->getBufferAsString();
+}
+
+/// Writes a struct in Thrift's message envelope, which carries the call id as sequence number.
+template <class Body>
+std::string encode(const char* name, message_type type, std::int32_t call_id, const Body& body)
+{
+    const auto memory = std::make_shared<apache::thrift::transport::TMemoryBuffer>();
+    apache::thrift::protocol::TCompactProtocol protocol{memory};
+    protocol.writeMessageBegin(name, type, call_id);
+    body.write(&protocol);
+    protocol.writeMessageEnd();
+    return memory->getBufferAsString();
+}
+
+/// Reads a struct without an envelope. Throws apache::thrift::TException if it is malformed.
+template <class Body>
+Body decode(const std::string& payload)
+{
+    const auto memory = std::make_shared<apache::thrift::transport::TMemoryBuffer>();
+    memory->write(reinterpret_cast<const std::uint8_t*>(payload.data()),
+                  static_cast<std::uint32_t>(payload.size()));
+    apache::thrift::protocol::TCompactProtocol protocol{memory};
+    Body body;
+    body.read(&protocol);
+    return body;
+}
+
+/// Reads a message: first its envelope, then the body that the envelope's name calls for.
+class message_reader
+{
+public:
+    /// Reads the envelope. Throws apache::thrift::TException if it is malformed.
+    explicit message_reader(const std::string& payload)
+        : memory_{std::make_shared<apache::thrift::transport::TMemoryBuffer>()}
+        , protocol_{memory_}
+    {
+        memory_->write(reinterpret_cast<const std::uint8_t*>(payload.data()),
+                       static_cast<std::uint32_t>(payload.size()));
+        protocol_.readMessageBegin(name_, type_, call_id_);
+    }
+
+    [[nodiscard]] const std::string& name() const { return name_; }
+    [[nodiscard]] message_type type() const { return type_; }
+    [[nodiscard]] std::int32_t call_id() const { return call_id_; }
+
+    /// Reads the body. Throws apache::thrift::TException if it is malformed.
+    template <class Body>
+    Body body()
+    {
+        Body body;
+        body.read(&protocol_);
+        return body;
+    }
+
+private:
+    std::shared_ptr<apache::thrift::transport::TMemoryBuffer> memory_;
+    apache::thrift::protocol::TCompactProtocol protocol_;
+    std::string name_;
+    message_type type_{apache::thrift::protocol::T_CALL};
+    std::int32_t call_id_{0};
+};
+
+} // namespace jujubevalve
--- a/modules/peer/peer_client.h
+++ b/modules/peer/peer_client.h
@@ -20,7 +20,7 @@
     /// The counters must outlive the client.
     peer_client(const peer_options& options, counters& counts);
 
-    /// Waiting calls end with `answer_lost`.
+    /// Closes the connections. No call may be in progress.
     ~peer_client();
     peer_client(const peer_client&) = delete;
     peer_client& operator=(const peer_client&) = delete;
--- /dev/null
+++ b/modules/peer/worker_pool.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <condition_variable>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace jujubevalve
+{
+
+/// A fixed number of threads that run jobs in the order of their arrival. Jobs must not throw.
+class worker_pool
+{
+public:
+    worker_pool(unsigned threads, std::size_t max_queued);
+
+    /// Drops the queued jobs and waits for the running ones.
+    ~worker_pool();
+    worker_pool(const worker_pool&) = delete;
+    worker_pool& operator=(const worker_pool&) = delete;
+
+    /// Queues a job; false if the queue is full.
+    bool add(std::function<void()> job);
+
+private:
+    void run();
+
+    const std::size_t max_queued_;
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::deque<std::function<void()>> jobs_;
+    bool stopping_{false};
+    std::vector<std::thread> threads_;
+};
+
+} // namespace jujubevalve
