--- /dev/null
+++ b/modules/requests/requests.cpp
@@ -0,0 +1,1 @@
+#include "requests/requests.h"
--- /dev/null
+++ b/modules/requests/requests.h
@@ -0,0 +1,12 @@
+#pragma once
+
+/// Umbrella header of the requests module: request keys, parsing, at-most-once execution and the
+/// numbers of backend requests.
+#include "requests/execution_registry.h"
+#include "requests/final_records.h"
+#include "requests/key_epochs.h"
+#include "requests/key_home.h"
+#include "requests/key_prefix.h"
+#include "requests/request_parser.h"
+#include "requests/resume_token.h"
+#include "requests/server_sequence.h"
--- /dev/null
+++ b/modules/routing/routing.cpp
@@ -0,0 +1,1 @@
+#include "routing/routing.h"
--- /dev/null
+++ b/modules/routing/routing.h
@@ -0,0 +1,10 @@
+#pragma once
+
+/// Umbrella header of the routing module: route match, backend choice, admission and retry budget.
+#include "routing/admission_queue.h"
+#include "routing/backend_selector.h"
+#include "routing/load_report.h"
+#include "routing/retry_budget.h"
+#include "routing/router_match.h"
+#include "routing/selector_policy.h"
+#include "routing/server_set.h"
