Add request keys, execution registry, backend selector and admission

The intent row of a caller-generated key now carries the epoch of the incarnation that wrote it. Cause: a row without epoch cannot tell a key whose run was forgotten after the retention from a key that never ran, so a late retry could run twice. Ruled out: keeping such keys forever (unbounded memory) and refusing every key without a record (false unknowns after an insert's answer is lost).

A refusal says not run only at the key's home, or for the first attempt that the caller numbered. An instance that is not the home cannot know whether a copy of an earlier attempt ran elsewhere.

--- a/modules/requests/execution_registry.h
+++ b/modules/requests/execution_registry.h
@@ -6,6 +6,7 @@
 #include "requests/final_records.h"
 #include "requests/key_epochs.h"
 
+#include <compare>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -38,13 +39,15 @@
     std::string key; ///< empty: nothing can join it; only for idempotent requests
     std::string body_digest;
     bool idempotent{true};
-    std::optional<std::int64_t> epoch; ///< epoch of an issued key; empty: caller-generated
+    /// Non-idempotent only: epoch of the issued prefix or of the intent row; the current epoch if
+    /// the row is still to be written.
+    std::int64_t epoch{0};
     /// The caller's number of this attempt, from 1; 0 if the caller does not number attempts. A
     /// refusal of attempt n also covers all lower attempts, even those that arrive later.
     int attempt{0};
-    /// Whether a key without a record may start. False when an intent row names this incarnation
-    /// but did not come from this request: a missing record may then have been forgotten.
-    bool may_start{true};
+    /// Non-idempotent only: whether this incarnation is certainly the key's home. False until the
+    /// intent row of a caller-generated key is written; confirm_home() follows.
+    bool home_confirmed{true};
 };
 
 /// What to do with a request.
@@ -53,14 +56,13 @@
     join,            ///< wait for the execution `id`
     answered,        ///< give `answer`
     refused,         ///< answer with `why`, not run
-    outcome_unknown, ///< answer with `why`, outcome unknown; never runs again
+    outcome_unknown, ///< answer with `why`, outcome unknown
 };
 
 /// Result of execution_registry::begin.
 struct begin_result {
     begin_action action{begin_action::refused};
     execution_id id{0};
-    bool fresh{true}; ///< start only: the registry had no record of the key before
     std::shared_ptr<const recorded_answer> answer;
     failure why;
 };
@@ -88,8 +90,14 @@
     /// `idempotency_key_conflict`; a key of an expired epoch gets `key_expired`.
     [[nodiscard]] begin_result begin(const execution_request& request, time_ms now);
 
+    /// The intent row names this incarnation. Fails with `key_expired` if the row's epoch has
+    /// expired, because the record of an earlier run may then have been forgotten; the execution
+    /// has then ended with an unknown outcome.
+    [[nodiscard]] status confirm_home(execution_id id, std::int64_t epoch, time_ms now);
+
     /// Must be called before the first byte goes to a backend server. False: must not be sent,
-    /// because an earlier order of a non-idempotent execution may have been delivered.
+    /// because an earlier order of a non-idempotent execution may have been delivered, or because
+    /// the home is not confirmed.
     [[nodiscard]] bool mark_sent(execution_id id);
 
     /// The order was certainly not delivered; the execution may choose another server.
@@ -104,7 +112,7 @@
     bool mark_unknown(execution_id id, failure why, time_ms now);
 
     /// Ends an execution without an order. Returns `not_run`, or `unknown` if an order may have
-    /// been delivered; in that case the execution becomes `unknown`.
+    /// been delivered or if the home is not confirmed and this is not the first attempt.
     [[nodiscard]] run_outcome refuse(execution_id id, failure why, time_ms now);
 
     /// Removes an accepted execution whose key turned out to belong to another incarnation.
@@ -127,17 +135,44 @@
     [[nodiscard]] std::optional<final_records> final(time_ms now) const;
 
 private:
-    struct record;
-    using record_map = std::unordered_map<execution_id, record>;
+    /// Digest of account and key.
+    struct key_digest {
+        std::uint64_t high{0};
+        std::uint64_t low{0};
+
+        friend auto operator<=>(const key_digest&, const key_digest&) = default;
+    };
+    struct key_digest_hash {
+        std::size_t operator()(const key_digest& digest) const { return digest.low; }
+    };
+    struct record {
+        execution_id id{0};
+        std::optional<key_digest> key;
+        std::uint64_t body{0}; ///< first digits of the body's digest
+        bool idempotent{true};
+        bool home_confirmed{true};
+        bool billed{false};
+        execution_state state{execution_state::accepted};
+        int attempt{0};       ///< highest attempt that began or joined
+        int refused_up_to{0}; ///< attempts up to this one were refused
+        std::int64_t epoch{0};
+        failure why;
+        std::shared_ptr<const recorded_answer> answer;
+    };
 
-    [[nodiscard]] begin_result start(const execution_request& request, std::string index_key,
-                                     time_ms now);
-    [[nodiscard]] begin_result again(record& known, const execution_request& request);
-    [[nodiscard]] bool has_room(bool idempotent) const;
+    static key_digest digest_of(std::string_view account, std::string_view key);
+    [[nodiscard]] begin_result start(const execution_request& request,
+                                     std::optional<key_digest> key, int refused_up_to);
+    [[nodiscard]] begin_result again(const record& known, const execution_request& request) const;
+    [[nodiscard]] static bool may_restart(const record& known, const execution_request& request);
+    [[nodiscard]] std::optional<failure> no_start(const execution_request& request) const;
+    [[nodiscard]] static begin_result refusal(const execution_request& request, bool final,
+                                              failure why);
     [[nodiscard]] record* find(execution_id id);
-    void finish(record& done, execution_state state, time_ms now);
+    [[nodiscard]] record* find(const key_digest& key);
+    bool finish(record& done, execution_state state, time_ms now);
     void keep_answer(record& done, recorded_answer answer);
-    void drop_oldest_answer();
+    void drop_answer(execution_id id);
     void forget(execution_id id);
     void forget_epochs(time_ms now);
     void forget_idempotent(time_ms now);
@@ -150,9 +185,9 @@
     std::string incarnation_;
     key_epochs epochs_;
     registry_limits limits_;
-    record_map by_id_;
-    std::unordered_map<std::string, execution_id> by_key_;
-    std::map<std::int64_t, std::vector<execution_id>> by_epoch_;
+    std::unordered_map<execution_id, record> by_id_;
+    std::unordered_map<key_digest, execution_id, key_digest_hash> by_key_;
+    std::map<std::int64_t, std::vector<execution_id>> by_epoch_; ///< finished, non-idempotent
     std::deque<finished_entry> idempotent_done_;
     std::deque<execution_id> answers_kept_;
     std::size_t answer_bytes_{0};
@@ -160,7 +195,6 @@
     std::size_t active_{0};
     execution_id last_id_{0};
     bool draining_{false};
-    bool forgot_intent_{false};
 };
 
 } // namespace jujubevalve
--- a/modules/requests/final_records.h
+++ b/modules/requests/final_records.h
@@ -3,7 +3,6 @@
 #include "core/result.h"
 
 #include <cstdint>
-#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -20,8 +19,7 @@
     final_records() = default;
 
     /// `sent` holds record digests; keys of epochs before `first_epoch` are no longer in it.
-    /// `intents_complete` tells whether keys without an epoch were never dropped from it.
-    final_records(std::string incarnation, std::int64_t first_epoch, bool intents_complete,
+    final_records(std::string incarnation, std::int64_t first_epoch,
                   std::set<std::string, std::less<>> sent);
 
     /// Reads the JSON form. Fails with `malformed_row`.
@@ -30,10 +28,10 @@
     /// The JSON form, in one line.
     [[nodiscard]] std::string to_json() const;
 
-    /// Whether the records prove that the key was never sent to a backend server. `epoch` is empty
-    /// for a caller-generated key.
+    /// Whether the records prove that the key was never sent to a backend server. The epoch is that
+    /// of the issued prefix or of the intent row.
     [[nodiscard]] bool proves_not_run(std::string_view account, std::string_view key,
-                                      std::optional<std::int64_t> epoch) const;
+                                      std::int64_t epoch) const;
 
     [[nodiscard]] const std::string& incarnation() const { return incarnation_; }
     [[nodiscard]] std::size_t size() const { return sent_.size(); }
@@ -47,7 +45,6 @@
 private:
     std::string incarnation_;
     std::int64_t first_epoch_{0};
-    bool intents_complete_{false};
     std::set<std::string, std::less<>> sent_;
 };
 
--- a/modules/requests/key_home.h
+++ b/modules/requests/key_home.h
@@ -38,9 +38,9 @@
 
 /// What this instance does with a non-idempotent request.
 enum class home_action {
-    run_here,        ///< begin() it in this incarnation's execution_registry
-    forward,         ///< send it to `incarnation` at `peer_address`
-    write_intent,    ///< begin() it here, then insert the intent row before it is sent
+    run_here,        ///< begin() it here, or confirm_home() it after an insert
+    forward,         ///< withdraw() it if begun; send it to `incarnation` at `peer_address`
+    write_intent,    ///< begin() it here unconfirmed, then insert the intent row
     retry_intent,    ///< the insert's outcome is unknown: read the row and insert it again
     refuse,          ///< answer with `why`, not run
     outcome_unknown, ///< answer with `why`, outcome unknown
@@ -51,27 +51,41 @@
     home_action action{home_action::refuse};
     std::string incarnation;
     std::string peer_address;
-    std::optional<std::int64_t> epoch; ///< of an issued key
-    bool may_start{true};              ///< for execution_request::may_start
+    std::int64_t epoch{0}; ///< of the issued prefix or of the existing intent row
     failure why;
 };
 
+/// Value of the row `intent/<account>/<key digest>`. The epoch is that of the naming incarnation
+/// when it wrote the row: it gives a caller-generated key the same lifetime as an issued one.
+struct intent_row {
+    std::string incarnation;
+    std::int64_t epoch{0};
+
+    /// Name of the row.
+    static std::string name(std::string_view account, std::string_view key);
+
+    [[nodiscard]] std::string to_json() const;
+
+    /// Fails with `malformed_row`.
+    static result<intent_row> from_json(std::string_view text);
+
+    friend bool operator==(const intent_row&, const intent_row&) = default;
+};
+
 /// The platform's answer to the insert-if-absent of an intent row.
 enum class intent_outcome {
     inserted,    ///< committed by this call
-    exists,      ///< the row was there; its incarnation is known
+    exists,      ///< a row was there; read it
     unknown,     ///< may take effect now or later
     unavailable, ///< certainly not delivered
 };
 
-/// Result of an insert of an intent row and what preceded it.
+/// Result of an insert of an intent row.
 struct intent_result {
     intent_outcome outcome{intent_outcome::unknown};
-    std::string incarnation;     ///< of the existing row
-    bool earlier_unknown{false}; ///< an earlier insert of this execution had an unknown outcome
-    bool fresh{true};            ///< begin_result::fresh
-    int attempt{0};              ///< execution_request::attempt
-    bool give_up{false};         ///< the time for further inserts has run out
+    intent_row row;      ///< the existing row, or the inserted one
+    int attempt{0};      ///< execution_request::attempt
+    bool give_up{false}; ///< the time for further inserts has run out
 };
 
 /// Decides where a non-idempotent request may run. Only one incarnation may ever run a key: the one
@@ -96,9 +110,6 @@
     /// if nothing of it was sent on, is known not to have run; any other may have a copy elsewhere.
     [[nodiscard]] static run_outcome refusal_away_from_home(int attempt, bool maybe_forwarded);
 
-    /// Name of the intent row: `intent/<account>/<key digest>`.
-    [[nodiscard]] static std::string intent_row(std::string_view account, std::string_view key);
-
 private:
     [[nodiscard]] home_decision by_key(std::string_view account, std::string_view key) const;
     [[nodiscard]] home_decision by_intent(const intent_result& result) const;
--- a/modules/requests/requests.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "requests/requests.h"
--- a/modules/routing/admission_queue.h
+++ b/modules/routing/admission_queue.h
@@ -5,10 +5,11 @@
 #include "core/tokens.h"
 
 #include <cstdint>
-#include <deque>
+#include <list>
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -48,7 +49,8 @@
 /// This router's share of a pool's slots. Beyond the share, requests wait in deficit round robin by
 /// client account, so that accounts get equal token rates. A full queue refuses the newest request
 /// of the account with the most waiting ones. Not synchronised: the caller locks. Each operation
-/// takes O(log n) in the waiting requests and accounts.
+/// takes O(log n) in the waiting requests; an admission also takes a turn for each waiting account
+/// that it passes over, at most 64 rounds.
 class admission_queue
 {
 public:
@@ -86,6 +88,7 @@
     struct account_queue {
         std::map<queue_key, std::uint64_t> requests;
         token_count deficit{0};
+        std::list<std::string>::iterator turn; ///< in turns_
     };
     struct waiting_request {
         admission_request request;
@@ -94,19 +97,18 @@
 
     void admit(admission_change& change, time_ms now);
     [[nodiscard]] std::uint64_t next_in_turn();
-    void start(std::uint64_t id, time_ms now);
     void push(admission_request request);
     admission_request remove(std::uint64_t id);
-    void make_room(admission_change& change, const std::string& account);
+    void make_room(admission_change& change, const admission_request& request);
     [[nodiscard]] token_count cost(const admission_request& request) const;
-    [[nodiscard]] admission_refusal refusal(std::uint64_t id, std::string why) const;
+    [[nodiscard]] admission_refusal refusal(std::uint64_t id, std::string_view why) const;
 
     admission_options options_;
     std::size_t share_{1};
     std::unordered_map<std::uint64_t, time_ms> running_; ///< id and start
     std::unordered_map<std::uint64_t, waiting_request> waiting_;
     std::map<std::string, account_queue> accounts_;
-    std::deque<std::string> turns_; ///< accounts with waiting requests in round robin order
+    std::list<std::string> turns_; ///< accounts with waiting requests in round robin order
     std::set<std::pair<std::size_t, std::string>> by_length_;
     std::set<std::pair<time_ms, std::uint64_t>> by_deadline_;
     std::uint64_t arrivals_{0};
--- /dev/null
+++ b/modules/routing/router_match.cpp
@@ -0,0 +1,72 @@
+#include "routing/router_match.h"
+
+#include "core/digest.h"
+
+#include <fmt/core.h>
+#include <random>
+#include <utility>
+
+namespace jujubevalve
+{
+
+namespace
+{
+std::uint64_t random_seed()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+} // namespace
+
+router_match::router_match(std::shared_ptr<const config_snapshot> snapshot)
+    : snapshot_{std::move(snapshot)}
+    , seed_{random_seed()}
+{
+    for (const auto& [name, row] : snapshot_->routes()) {
+        by_digest_.emplace(hash64(row.key_digest, seed_),
+                           digest_entry{row.key_digest, row.account});
+    }
+}
+
+result<std::string> router_match::account_of(std::string_view bearer_key) const
+{
+    const auto digest = sha256_hex(bearer_key);
+    const auto found = by_digest_.find(hash64(digest, seed_));
+    if (bearer_key.empty() || found == by_digest_.end() ||
+        !equal_constant_time(found->second.digest, digest)) {
+        return failure{result_code::unauthenticated,
+                       "header Authorization: expected \"Bearer <key>\" with the key of a client "
+                       "account"};
+    }
+    return std::string{found->second.account};
+}
+
+result<route_target> router_match::match(std::string_view bearer_key, std::string_view request_kind,
+                                         service_kind service) const
+{
+    const auto account = account_of(bearer_key);
+    if (!account) {
+        return account.why();
+    }
+    const auto* const row = snapshot_->find_route(*account, request_kind);
+    const auto* const target = row == nullptr ? nullptr : snapshot_->find_pool(row->pool);
+    if (target == nullptr || target->kind != service) {
+        return failure{result_code::unknown_route,
+                       fmt::format("client account \"{}\" has no route for \"{}\" on this path",
+                                   *account, request_kind)};
+    }
+    if (snapshot_->servers_of(*target).empty()) {
+        return failure{result_code::no_backend_server,
+                       fmt::format("pool \"{}\" lists no backend server", target->name)};
+    }
+    return route_target{*account, row, target,
+                        target->servers_of.empty() ? target->name : target->servers_of};
+}
+
+std::string_view router_match::bearer_of(std::string_view header)
+{
+    static constexpr std::string_view scheme = "Bearer ";
+    return header.starts_with(scheme) ? header.substr(scheme.size()) : std::string_view{};
+}
+
+} // namespace jujubevalve
--- a/modules/routing/router_match.h
+++ b/modules/routing/router_match.h
@@ -53,7 +53,7 @@
 
     std::shared_ptr<const config_snapshot> snapshot_;
     std::uint64_t seed_{0};
-    std::unordered_multimap<std::uint64_t, digest_entry> by_digest_;
+    std::unordered_map<std::uint64_t, digest_entry> by_digest_;
 };
 
 } // namespace jujubevalve
--- a/modules/routing/routing.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "routing/routing.h"
--- a/modules/routing/server_set.h
+++ b/modules/routing/server_set.h
@@ -118,6 +118,7 @@
     void open(server_index server, time_ms now, time_ms interval);
     void rebuild_buckets();
     [[nodiscard]] server_index rendezvous(std::uint64_t bucket) const;
+    [[nodiscard]] static bool is_leaving(const server_state& state);
     [[nodiscard]] static double contribution(const server_state& state);
 
     server_set_options options_;
--- /dev/null
+++ b/modules/routing/tests/routing_tests.cpp
@@ -0,0 +1,357 @@
+#include "core/digest.h"
+#include "routing/routing.h"
+
+#include <CppUTest/TestHarness.h>
+#include <fmt/core.h>
+#include <map>
+#include <set>
+
+using namespace jujubevalve;
+
+namespace
+{
+std::vector<backend_server> some_servers(int count)
+{
+    std::vector<backend_server> rows;
+    for (int i = 0; i < count; ++i) {
+        rows.push_back({fmt::format("grit-{}", i), fmt::format("10.0.0.{}:80", i), "a", 4, false});
+    }
+    return rows;
+}
+} // namespace
+
+TEST_GROUP(matching)
+{
+    std::shared_ptr<const config_snapshot> snapshot = std::make_shared<const config_snapshot>(
+        1, 1,
+        config_snapshot::route_table{
+            {"r", {"r", "clerks", sha256_hex("key"), "grit", "p"}},
+            {"calls", {"calls", "clerks", sha256_hex("key"), "orders", "p"}},
+            {"empty", {"empty", "clerks", sha256_hex("key"), "none", "e"}}},
+        config_snapshot::pool_table{
+            {"p", {"p", service_kind::engine, "shared"}},
+            {"shared", {"shared", service_kind::engine, "", some_servers(2)}},
+            {"e", {"e", service_kind::engine}}});
+    router_match matcher{snapshot};
+
+    result_code code_of(std::string_view key, std::string_view kind, service_kind service) const
+    {
+        const auto target = matcher.match(key, kind, service);
+        return target ? result_code::ok : target.why().code;
+    }
+};
+
+TEST(matching, finds_account_route_pool_and_servers)
+{
+    const auto target =
+        matcher.match(router_match::bearer_of("Bearer key"), "grit", service_kind::engine);
+    CHECK(target.has_value());
+    CHECK_EQUAL(std::string{"clerks"}, target->account);
+    CHECK_EQUAL(std::string{"r"}, target->route_row->name);
+    CHECK_EQUAL(std::string{"shared"}, target->server_set);
+}
+
+// Guards against refusals whose code does not tell the caller what to change.
+TEST(matching, each_fault_has_its_code)
+{
+    CHECK(code_of("wrong", "grit", service_kind::engine) == result_code::unauthenticated);
+    CHECK(code_of("", "grit", service_kind::engine) == result_code::unauthenticated);
+    CHECK(code_of("key", "other", service_kind::engine) == result_code::unknown_route);
+    CHECK(code_of("key", "orders", service_kind::plain) == result_code::unknown_route);
+    CHECK(code_of("key", "none", service_kind::engine) == result_code::no_backend_server);
+    CHECK(router_match::bearer_of("Basic key").empty());
+}
+
+TEST_GROUP(selection)
+{
+    time_ms now{1000};
+    backend_selector selector{7};
+
+    void setup() override
+    {
+        selector.servers().set_servers(some_servers(8));
+    }
+
+    std::string choose(std::string_view prompt = "p", std::vector<std::string> tried = {})
+    {
+        const auto choice = selector.choose({prompt, true, std::move(tried)}, now);
+        return choice ? choice->name : std::string{};
+    }
+    std::set<std::string> chosen(int draws)
+    {
+        std::set<std::string> names;
+        for (int i = 0; i < draws; ++i) {
+            names.insert(choose(std::to_string(i)));
+        }
+        return names;
+    }
+    void end(const std::string& server, backend_selector::ending how)
+    {
+        selector.finished(server, how, now);
+    }
+};
+
+// Guards G6: each source alone must stop new work at a leaving server at once.
+TEST(selection, any_source_of_leaving_stops_new_work)
+{
+    auto rows = some_servers(8);
+    rows[0].leaving = true;
+    selector.servers().set_servers(rows);
+    selector.servers().set_listed_leaving("grit-1", true);
+    selector.servers().set_report("grit-2", {0, 0, true, now});
+    const auto names = chosen(400);
+    CHECK_EQUAL(5U, names.size());
+    CHECK(!names.contains("grit-0") && !names.contains("grit-1") && !names.contains("grit-2"));
+    // One source that takes its word back does not overrule another.
+    selector.servers().set_report("grit-1", {0, 0, false, now});
+    CHECK(!chosen(400).contains("grit-1"));
+    // An older report that arrives late changes nothing.
+    selector.servers().set_report("grit-2", {0, 0, false, now - time_ms{1}});
+    CHECK(!chosen(400).contains("grit-2"));
+}
+
+TEST(selection, equal_prompts_go_to_one_server_until_it_is_loaded)
+{
+    for (int i = 0; i < 8; ++i) {
+        selector.servers().set_report(fmt::format("grit-{}", i), {2, 0, false, now});
+    }
+    const auto preferred = choose("same prompt");
+    end(preferred, backend_selector::ending::succeeded);
+    CHECK_EQUAL(preferred, choose("same prompt"));
+    end(preferred, backend_selector::ending::succeeded);
+    selector.servers().set_report(preferred, {8, 0, false, now});
+    CHECK(choose("same prompt") != preferred);
+    // Affinity stays when other servers leave.
+    selector.servers().set_report(preferred, {2, 0, false, now});
+    selector.servers().set_listed_leaving(preferred == "grit-0" ? "grit-1" : "grit-0", true);
+    CHECK_EQUAL(preferred, choose("same prompt"));
+}
+
+TEST(selection, tried_servers_are_not_chosen_again)
+{
+    std::vector<std::string> tried;
+    for (int i = 0; i < 8; ++i) {
+        const auto name = choose("p", tried);
+        CHECK(!name.empty());
+        tried.push_back(name);
+    }
+    CHECK(choose("p", tried).empty());
+    CHECK_EQUAL(8U, std::set<std::string>(tried.begin(), tried.end()).size());
+}
+
+// Guards against a dead server that keeps failing requests, and against one that never returns.
+TEST(selection, suspects_after_failures_and_probes_with_one_request)
+{
+    selector.servers().set_servers(some_servers(2));
+    for (int i = 0; i < 3; ++i) {
+        selector.servers().add_in_flight(0);
+        end("grit-0", backend_selector::ending::failed);
+    }
+    CHECK(chosen(100) == std::set<std::string>{"grit-1"});
+    now = now + time_ms{2000};
+    // An order that runs at most once does not test a suspected server.
+    CHECK(selector.choose({"p", false, {}}, now)->name == "grit-1");
+    const auto probe = selector.choose({"p", true, {}}, now);
+    CHECK(probe->probe && probe->name == "grit-0");
+    CHECK_EQUAL(std::string{"grit-1"}, choose());
+    end("grit-0", backend_selector::ending::failed);
+    now = now + time_ms{3999};
+    CHECK_EQUAL(std::string{"grit-1"}, choose());
+    now = now + time_ms{1};
+    CHECK_EQUAL(std::string{"grit-0"}, choose());
+    end("grit-0", backend_selector::ending::neutral);
+    now = now + time_ms{4000};
+    CHECK_EQUAL(std::string{"grit-0"}, choose());
+    end("grit-0", backend_selector::ending::succeeded);
+    CHECK(chosen(100).size() == 2);
+}
+
+// Guards against lost state, and a probe of the wrong server, when the table changes.
+TEST(selection, table_changes_keep_the_state_of_servers)
+{
+    for (int i = 0; i < 3; ++i) {
+        selector.servers().failed(7, now);
+    }
+    selector.servers().add_in_flight(6);
+    auto rows = some_servers(8);
+    rows.erase(rows.begin());
+    selector.servers().set_servers(rows);
+    const auto moved = *selector.servers().find("grit-7");
+    CHECK(selector.servers().breaker(moved) == breaker_state::open);
+    CHECK(!chosen(200).contains("grit-7") && !chosen(200).contains("grit-0"));
+    CHECK(selector.servers().own_in_flight(*selector.servers().find("grit-6")) >= 1);
+    end("grit-0", backend_selector::ending::failed);
+    now = now + time_ms{2000};
+    CHECK_EQUAL(std::string{"grit-7"}, choose());
+}
+
+// Guards the sums that replace a scan of all servers: they must stay equal to the scan.
+TEST(selection, the_mean_load_equals_a_scan)
+{
+    constexpr unsigned seed = 5;
+    selector_random random{seed};
+    auto& servers = selector.servers();
+    std::map<server_index, std::pair<int, int>> model; // reported and started since
+    for (int step = 0; step < 5000; ++step) {
+        const auto server = static_cast<server_index>(random() % 8);
+        const auto name = fmt::format("grit-{}", server);
+        if (random() % 3 == 0) {
+            const auto running = static_cast<int>(random() % 9);
+            servers.set_report(name, {running, 0, random() % 4 == 0, now});
+            model[server] = {running, 0};
+        } else if (model.contains(server)) {
+            servers.add_in_flight(server);
+            ++model[server].second;
+        }
+        double sum = 0;
+        for (const auto candidate : servers.candidates()) {
+            sum += model[candidate].first + model[candidate].second;
+        }
+        const auto slots = static_cast<double>(servers.slots());
+        DOUBLES_EQUAL(slots == 0 ? 0 : sum / slots, servers.mean_load(), 1e-9);
+    }
+}
+
+TEST_GROUP(admission)
+{
+    time_ms now{};
+    std::uint64_t last_id = 0;
+    admission_queue queue{{10, 100}};
+
+    admission_change offer(const std::string& account, token_count cost = 100, int priority = 0)
+    {
+        return queue.offer({++last_id, account, cost, priority, now + seconds(10)}, now);
+    }
+};
+
+TEST(admission, a_share_is_the_pools_slots_over_the_instances)
+{
+    queue.set_share(9, 4, now);
+    CHECK_EQUAL(2U, queue.share());
+    queue.set_share(1, 4, now);
+    CHECK_EQUAL(1U, queue.share());
+    CHECK_EQUAL(1U, offer("a").admitted.size());
+    CHECK(offer("a").admitted.empty());
+    CHECK_EQUAL(1U, queue.set_share(2, 1, now).admitted.size());
+    CHECK(queue.release(1, now).admitted.empty());
+}
+
+// Guards against a large account that starves a small one, whatever the order of arrival.
+TEST(admission, a_large_account_does_not_starve_a_small_one)
+{
+    admission_queue wide{{1000, 100}};
+    std::map<std::uint64_t, std::string> account_of;
+    std::uint64_t id = 0;
+    for (int i = 0; i < 500; ++i) {
+        account_of[++id] = "large";
+        wide.offer({id, "large", 400, 0, seconds(1000)}, now);
+    }
+    for (int i = 0; i < 10; ++i) {
+        account_of[++id] = "small";
+        wide.offer({id, "small", 100, 0, seconds(1000)}, now);
+    }
+    int before_small_ended = 0;
+    int small = 0;
+    std::uint64_t running = 1;
+    while (small < 10) {
+        const auto change = wide.release(running, now);
+        CHECK_EQUAL(1U, change.admitted.size());
+        running = change.admitted.front();
+        account_of[running] == "small" ? ++small : ++before_small_ended;
+    }
+    // Ten requests of 100 tokens pass while the large account gets as many tokens: 2 to 3 requests.
+    CHECK(before_small_ended <= 3);
+}
+
+TEST(admission, a_full_queue_refuses_the_longest_account)
+{
+    offer("large");
+    for (int i = 0; i < 10; ++i) {
+        CHECK(offer("large").refused.empty());
+    }
+    const auto own = offer("large");
+    CHECK(own.refused.front().id == last_id);
+    CHECK(own.refused.front().why.code == result_code::overloaded);
+    CHECK(own.refused.front().retry_after >= seconds(1));
+    const auto pushed = offer("small");
+    CHECK_EQUAL(1U, pushed.refused.size());
+    CHECK_EQUAL(11U, pushed.refused.front().id);
+    CHECK_EQUAL(10U, queue.waiting());
+}
+
+TEST(admission, refuses_at_the_deadline_and_lets_callers_leave)
+{
+    offer("a");
+    offer("a");
+    offer("b");
+    CHECK(queue.cancel(2));
+    CHECK(!queue.cancel(2));
+    now = seconds(10);
+    const auto change = queue.expire(now);
+    CHECK_EQUAL(1U, change.refused.size());
+    CHECK_EQUAL(3U, change.refused.front().id);
+    CHECK_EQUAL(0U, queue.waiting());
+    CHECK_EQUAL(1U, queue.running());
+}
+
+TEST(admission, priority_orders_within_an_account)
+{
+    offer("a");
+    offer("a", 100, 0);
+    offer("a", 100, 5);
+    CHECK_EQUAL(3U, queue.release(1, now).admitted.front());
+}
+
+// Guards against lost or doubled slots over random sequences.
+TEST(admission, random_sequences_neither_lose_nor_double_requests)
+{
+    for (unsigned seed = 1; seed <= 200; ++seed) {
+        selector_random random{seed};
+        admission_queue tested{{5, 100}};
+        std::set<std::uint64_t> waiting;
+        std::set<std::uint64_t> running;
+        const auto apply = [&](const admission_change& change) {
+            for (const auto id : change.admitted) {
+                CHECK(waiting.erase(id) == 1 && running.insert(id).second);
+            }
+            for (const auto& refused : change.refused) {
+                CHECK(waiting.erase(refused.id) == 1);
+            }
+        };
+        for (std::uint64_t step = 1; step <= 300; ++step) {
+            const time_ms at{static_cast<std::int64_t>(step * 10)};
+            const auto what = random() % 10;
+            if (what < 5) {
+                waiting.insert(step);
+                apply(tested.offer({step, std::to_string(random() % 4),
+                                    static_cast<token_count>(random() % 100'000),
+                                    static_cast<int>(random() % 3), at + time_ms{200}},
+                                   at));
+            } else if (what < 8 && !running.empty()) {
+                const auto id = *running.begin();
+                running.erase(id);
+                apply(tested.release(id, at));
+            } else if (what == 8) {
+                apply(tested.set_share(static_cast<std::int64_t>(random() % 6), 1, at));
+            } else {
+                apply(tested.expire(at));
+            }
+            CHECK_EQUAL_TEXT(waiting.size(), tested.waiting(),
+                             fmt::format("seed {}", seed).c_str());
+            CHECK_EQUAL(running.size(), tested.running());
+        }
+    }
+}
+
+// Guards against retries that multiply the load of a failing pool (section 5.2).
+TEST(admission, retries_are_a_tenth_of_the_requests)
+{
+    retry_budget budget{10, 5};
+    CHECK(!budget.take(false));
+    int retries = 0;
+    for (int i = 0; i < 1000; ++i) {
+        budget.add_request();
+        retries += budget.take(true) ? 1 : 0;
+    }
+    CHECK(retries >= 100 && retries <= 105);
+}
