--- a/modules/backend/backend.h
+++ b/modules/backend/backend.h
@@ -8,7 +8,7 @@
 #include "backend/cancel_result.h"
 #include "backend/engine_event.h"
 #include "backend/engine_request.h"
-#include "backend/load_report.h"
+#include "backend/server_load.h"
 #include "backend/plain_call.h"
 #include "backend/resume_policy.h"
 #include "backend/sse_parser.h"
--- a/modules/backend/backend_client.cpp
+++ b/modules/backend/backend_client.cpp
@@ -262,7 +262,7 @@
         return result;
     }
 
-    result<load_report> load(const std::string& address)
+    result<server_load> load(const std::string& address)
     {
         http_call call{"GET", url_of(address, "/v1/load")};
         call.connect_timeout = options_.connect_timeout;
@@ -271,7 +271,7 @@
         if (!body) {
             return body.why();
         }
-        load_report report;
+        server_load report;
         report.running = number_at(*body, "running", -1);
         report.queued = number_at(*body, "queued", -1);
         report.slots = number_at(*body, "slots", -1);
@@ -414,7 +414,7 @@
     return impl_->call(address, call);
 }
 
-result<load_report> backend_client::load(const std::string& address)
+result<server_load> backend_client::load(const std::string& address)
 {
     return impl_->load(address);
 }
--- a/modules/backend/backend_client.h
+++ b/modules/backend/backend_client.h
@@ -4,7 +4,7 @@
 #include "backend/cancel_result.h"
 #include "backend/engine_event.h"
 #include "backend/engine_request.h"
-#include "backend/load_report.h"
+#include "backend/server_load.h"
 #include "backend/plain_call.h"
 #include "backend/resume_policy.h"
 #include "backend/stream_result.h"
@@ -63,7 +63,7 @@
     call_result call(const std::string& address, const plain_call& call);
 
     /// Fetches a server's load report. Fails with `backend_lost` or `malformed_json`.
-    result<load_report> load(const std::string& address);
+    result<server_load> load(const std::string& address);
 
 private:
     class impl;
--- a/modules/peer/gen/peer_types.cpp
+++ b/modules/peer/gen/peer_types.cpp
@@ -1645,6 +1645,10 @@
 void forward_request::__set_timeout_ms(const int64_t val) {
   this->timeout_ms = val;
 }
+
+void forward_request::__set_attempt(const int32_t val) {
+  this->attempt = val;
+}
 std::ostream& operator<<(std::ostream& out, const forward_request& obj)
 {
   obj.printTo(out);
@@ -1721,6 +1725,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->attempt);
+          this->__isset.attempt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1762,6 +1774,10 @@
   xfer += oprot->writeI64(this->timeout_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->attempt);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1775,6 +1791,7 @@
   swap(a.body, b.body);
   swap(a.content_type, b.content_type);
   swap(a.timeout_ms, b.timeout_ms);
+  swap(a.attempt, b.attempt);
   swap(a.__isset, b.__isset);
 }
 
@@ -1785,6 +1802,7 @@
   body = other70.body;
   content_type = other70.content_type;
   timeout_ms = other70.timeout_ms;
+  attempt = other70.attempt;
   __isset = other70.__isset;
 }
 forward_request& forward_request::operator=(const forward_request& other71) {
@@ -1794,6 +1812,7 @@
   body = other71.body;
   content_type = other71.content_type;
   timeout_ms = other71.timeout_ms;
+  attempt = other71.attempt;
   __isset = other71.__isset;
   return *this;
 }
@@ -1806,6 +1825,7 @@
   out << ", " << "body=" << to_string(body);
   out << ", " << "content_type=" << to_string(content_type);
   out << ", " << "timeout_ms=" << to_string(timeout_ms);
+  out << ", " << "attempt=" << to_string(attempt);
   out << ")";
 }
 
@@ -2438,6 +2458,198 @@
 }
 
 
+transfer_ack::~transfer_ack() noexcept {
+}
+
+
+void transfer_ack::__set_code(const int32_t val) {
+  this->code = val;
+}
+
+void transfer_ack::__set_receiver(const std::string& val) {
+  this->receiver = val;
+}
+
+void transfer_ack::__set_credited(const std::vector<int64_t> & val) {
+  this->credited = val;
+}
+
+void transfer_ack::__set_refused(const std::vector<int64_t> & val) {
+  this->refused = val;
+}
+std::ostream& operator<<(std::ostream& out, const transfer_ack& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t transfer_ack::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->code);
+          this->__isset.code = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->receiver);
+          this->__isset.receiver = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->credited.clear();
+            uint32_t _size86;
+            ::apache::thrift::protocol::TType _etype89;
+            xfer += iprot->readListBegin(_etype89, _size86);
+            this->credited.resize(_size86);
+            uint32_t _i90;
+            for (_i90 = 0; _i90 < _size86; ++_i90)
+            {
+              xfer += iprot->readI64(this->credited[_i90]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.credited = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->refused.clear();
+            uint32_t _size91;
+            ::apache::thrift::protocol::TType _etype94;
+            xfer += iprot->readListBegin(_etype94, _size91);
+            this->refused.resize(_size91);
+            uint32_t _i95;
+            for (_i95 = 0; _i95 < _size91; ++_i95)
+            {
+              xfer += iprot->readI64(this->refused[_i95]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.refused = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t transfer_ack::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("transfer_ack");
+
+  xfer += oprot->writeFieldBegin("code", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->code);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("receiver", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->receiver);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("credited", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->credited.size()));
+    std::vector<int64_t> ::const_iterator _iter96;
+    for (_iter96 = this->credited.begin(); _iter96 != this->credited.end(); ++_iter96)
+    {
+      xfer += oprot->writeI64((*_iter96));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->refused.size()));
+    std::vector<int64_t> ::const_iterator _iter97;
+    for (_iter97 = this->refused.begin(); _iter97 != this->refused.end(); ++_iter97)
+    {
+      xfer += oprot->writeI64((*_iter97));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(transfer_ack &a, transfer_ack &b) {
+  using ::std::swap;
+  swap(a.code, b.code);
+  swap(a.receiver, b.receiver);
+  swap(a.credited, b.credited);
+  swap(a.refused, b.refused);
+  swap(a.__isset, b.__isset);
+}
+
+transfer_ack::transfer_ack(const transfer_ack& other98) {
+  code = other98.code;
+  receiver = other98.receiver;
+  credited = other98.credited;
+  refused = other98.refused;
+  __isset = other98.__isset;
+}
+transfer_ack& transfer_ack::operator=(const transfer_ack& other99) {
+  code = other99.code;
+  receiver = other99.receiver;
+  credited = other99.credited;
+  refused = other99.refused;
+  __isset = other99.__isset;
+  return *this;
+}
+void transfer_ack::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "transfer_ack(";
+  out << "code=" << to_string(code);
+  out << ", " << "receiver=" << to_string(receiver);
+  out << ", " << "credited=" << to_string(credited);
+  out << ", " << "refused=" << to_string(refused);
+  out << ")";
+}
+
+
 transfer_offer::~transfer_offer() noexcept {
 }
 
@@ -2445,6 +2657,11 @@
 void transfer_offer::__set_offers(const std::vector<transfer> & val) {
   this->offers = val;
 }
+
+void transfer_offer::__set_ack(const transfer_ack& val) {
+  this->ack = val;
+__isset.ack = true;
+}
 std::ostream& operator<<(std::ostream& out, const transfer_offer& obj)
 {
   obj.printTo(out);
@@ -2477,14 +2694,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->offers.clear();
-            uint32_t _size86;
-            ::apache::thrift::protocol::TType _etype89;
-            xfer += iprot->readListBegin(_etype89, _size86);
-            this->offers.resize(_size86);
-            uint32_t _i90;
-            for (_i90 = 0; _i90 < _size86; ++_i90)
+            uint32_t _size100;
+            ::apache::thrift::protocol::TType _etype103;
+            xfer += iprot->readListBegin(_etype103, _size100);
+            this->offers.resize(_size100);
+            uint32_t _i104;
+            for (_i104 = 0; _i104 < _size100; ++_i104)
             {
-              xfer += this->offers[_i90].read(iprot);
+              xfer += this->offers[_i104].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2493,6 +2710,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->ack.read(iprot);
+          this->__isset.ack = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2513,15 +2738,20 @@
   xfer += oprot->writeFieldBegin("offers", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->offers.size()));
-    std::vector<transfer> ::const_iterator _iter91;
-    for (_iter91 = this->offers.begin(); _iter91 != this->offers.end(); ++_iter91)
+    std::vector<transfer> ::const_iterator _iter105;
+    for (_iter105 = this->offers.begin(); _iter105 != this->offers.end(); ++_iter105)
     {
-      xfer += (*_iter91).write(oprot);
+      xfer += (*_iter105).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.ack) {
+    xfer += oprot->writeFieldBegin("ack", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->ack.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2530,53 +2760,165 @@
 void swap(transfer_offer &a, transfer_offer &b) {
   using ::std::swap;
   swap(a.offers, b.offers);
+  swap(a.ack, b.ack);
   swap(a.__isset, b.__isset);
 }
 
-transfer_offer::transfer_offer(const transfer_offer& other92) {
-  offers = other92.offers;
-  __isset = other92.__isset;
+transfer_offer::transfer_offer(const transfer_offer& other106) {
+  offers = other106.offers;
+  ack = other106.ack;
+  __isset = other106.__isset;
 }
-transfer_offer& transfer_offer::operator=(const transfer_offer& other93) {
-  offers = other93.offers;
-  __isset = other93.__isset;
+transfer_offer& transfer_offer::operator=(const transfer_offer& other107) {
+  offers = other107.offers;
+  ack = other107.ack;
+  __isset = other107.__isset;
   return *this;
 }
 void transfer_offer::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "transfer_offer(";
   out << "offers=" << to_string(offers);
+  out << ", " << "ack="; (__isset.ack ? (out << to_string(ack)) : (out << "<null>"));
   out << ")";
 }
 
 
-transfer_ack::~transfer_ack() noexcept {
+received_query::~received_query() noexcept {
 }
 
 
-void transfer_ack::__set_code(const int32_t val) {
-  this->code = val;
+void received_query::__set_gone(const std::vector<std::string> & val) {
+  this->gone = val;
+}
+std::ostream& operator<<(std::ostream& out, const received_query& obj)
+{
+  obj.printTo(out);
+  return out;
 }
 
-void transfer_ack::__set_sender(const std::string& val) {
-  this->sender = val;
+
+uint32_t received_query::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->gone.clear();
+            uint32_t _size108;
+            ::apache::thrift::protocol::TType _etype111;
+            xfer += iprot->readListBegin(_etype111, _size108);
+            this->gone.resize(_size108);
+            uint32_t _i112;
+            for (_i112 = 0; _i112 < _size108; ++_i112)
+            {
+              xfer += iprot->readString(this->gone[_i112]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.gone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
 }
 
-void transfer_ack::__set_receiver(const std::string& val) {
-  this->receiver = val;
+uint32_t received_query::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("received_query");
+
+  xfer += oprot->writeFieldBegin("gone", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->gone.size()));
+    std::vector<std::string> ::const_iterator _iter113;
+    for (_iter113 = this->gone.begin(); _iter113 != this->gone.end(); ++_iter113)
+    {
+      xfer += oprot->writeString((*_iter113));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
 }
 
-void transfer_ack::__set_n(const int64_t val) {
-  this->n = val;
+void swap(received_query &a, received_query &b) {
+  using ::std::swap;
+  swap(a.gone, b.gone);
+  swap(a.__isset, b.__isset);
 }
-std::ostream& operator<<(std::ostream& out, const transfer_ack& obj)
+
+received_query::received_query(const received_query& other114) {
+  gone = other114.gone;
+  __isset = other114.__isset;
+}
+received_query& received_query::operator=(const received_query& other115) {
+  gone = other115.gone;
+  __isset = other115.__isset;
+  return *this;
+}
+void received_query::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "received_query(";
+  out << "gone=" << to_string(gone);
+  out << ")";
+}
+
+
+transfer_total::~transfer_total() noexcept {
+}
+
+
+void transfer_total::__set_budget(const std::string& val) {
+  this->budget = val;
+}
+
+void transfer_total::__set_sent(const int64_t val) {
+  this->sent = val;
+}
+
+void transfer_total::__set_received(const int64_t val) {
+  this->received = val;
+}
+std::ostream& operator<<(std::ostream& out, const transfer_total& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t transfer_ack::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t transfer_total::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2598,33 +2940,25 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->code);
-          this->__isset.code = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->budget);
+          this->__isset.budget = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->sender);
-          this->__isset.sender = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sent);
+          this->__isset.sent = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->receiver);
-          this->__isset.receiver = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->n);
-          this->__isset.n = true;
+          xfer += iprot->readI64(this->received);
+          this->__isset.received = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2641,25 +2975,21 @@
   return xfer;
 }
 
-uint32_t transfer_ack::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t transfer_total::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("transfer_ack");
+  xfer += oprot->writeStructBegin("transfer_total");
 
-  xfer += oprot->writeFieldBegin("code", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(this->code);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->sender);
+  xfer += oprot->writeFieldBegin("budget", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->budget);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("receiver", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->receiver);
+  xfer += oprot->writeFieldBegin("sent", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->sent);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("n", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->n);
+  xfer += oprot->writeFieldBegin("received", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->received);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -2667,56 +2997,56 @@
   return xfer;
 }
 
-void swap(transfer_ack &a, transfer_ack &b) {
+void swap(transfer_total &a, transfer_total &b) {
   using ::std::swap;
-  swap(a.code, b.code);
-  swap(a.sender, b.sender);
-  swap(a.receiver, b.receiver);
-  swap(a.n, b.n);
+  swap(a.budget, b.budget);
+  swap(a.sent, b.sent);
+  swap(a.received, b.received);
   swap(a.__isset, b.__isset);
 }
 
-transfer_ack::transfer_ack(const transfer_ack& other94) {
-  code = other94.code;
-  sender = other94.sender;
-  receiver = other94.receiver;
-  n = other94.n;
-  __isset = other94.__isset;
+transfer_total::transfer_total(const transfer_total& other116) {
+  budget = other116.budget;
+  sent = other116.sent;
+  received = other116.received;
+  __isset = other116.__isset;
 }
-transfer_ack& transfer_ack::operator=(const transfer_ack& other95) {
-  code = other95.code;
-  sender = other95.sender;
-  receiver = other95.receiver;
-  n = other95.n;
-  __isset = other95.__isset;
+transfer_total& transfer_total::operator=(const transfer_total& other117) {
+  budget = other117.budget;
+  sent = other117.sent;
+  received = other117.received;
+  __isset = other117.__isset;
   return *this;
 }
-void transfer_ack::printTo(std::ostream& out) const {
+void transfer_total::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "transfer_ack(";
-  out << "code=" << to_string(code);
-  out << ", " << "sender=" << to_string(sender);
-  out << ", " << "receiver=" << to_string(receiver);
-  out << ", " << "n=" << to_string(n);
+  out << "transfer_total(";
+  out << "budget=" << to_string(budget);
+  out << ", " << "sent=" << to_string(sent);
+  out << ", " << "received=" << to_string(received);
   out << ")";
 }
 
 
-received_query::~received_query() noexcept {
+peer_totals::~peer_totals() noexcept {
 }
 
 
-void received_query::__set_sender(const std::string& val) {
-  this->sender = val;
+void peer_totals::__set_gone(const std::string& val) {
+  this->gone = val;
 }
-std::ostream& operator<<(std::ostream& out, const received_query& obj)
+
+void peer_totals::__set_totals(const std::vector<transfer_total> & val) {
+  this->totals = val;
+}
+std::ostream& operator<<(std::ostream& out, const peer_totals& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t received_query::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t peer_totals::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2739,8 +3069,28 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->sender);
-          this->__isset.sender = true;
+          xfer += iprot->readString(this->gone);
+          this->__isset.gone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->totals.clear();
+            uint32_t _size118;
+            ::apache::thrift::protocol::TType _etype121;
+            xfer += iprot->readListBegin(_etype121, _size118);
+            this->totals.resize(_size118);
+            uint32_t _i122;
+            for (_i122 = 0; _i122 < _size118; ++_i122)
+            {
+              xfer += this->totals[_i122].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.totals = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2757,13 +3107,25 @@
   return xfer;
 }
 
-uint32_t received_query::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t peer_totals::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("received_query");
+  xfer += oprot->writeStructBegin("peer_totals");
 
-  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->sender);
+  xfer += oprot->writeFieldBegin("gone", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->gone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("totals", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->totals.size()));
+    std::vector<transfer_total> ::const_iterator _iter123;
+    for (_iter123 = this->totals.begin(); _iter123 != this->totals.end(); ++_iter123)
+    {
+      xfer += (*_iter123).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -2771,25 +3133,29 @@
   return xfer;
 }
 
-void swap(received_query &a, received_query &b) {
+void swap(peer_totals &a, peer_totals &b) {
   using ::std::swap;
-  swap(a.sender, b.sender);
+  swap(a.gone, b.gone);
+  swap(a.totals, b.totals);
   swap(a.__isset, b.__isset);
 }
 
-received_query::received_query(const received_query& other96) {
-  sender = other96.sender;
-  __isset = other96.__isset;
+peer_totals::peer_totals(const peer_totals& other124) {
+  gone = other124.gone;
+  totals = other124.totals;
+  __isset = other124.__isset;
 }
-received_query& received_query::operator=(const received_query& other97) {
-  sender = other97.sender;
-  __isset = other97.__isset;
+peer_totals& peer_totals::operator=(const peer_totals& other125) {
+  gone = other125.gone;
+  totals = other125.totals;
+  __isset = other125.__isset;
   return *this;
 }
-void received_query::printTo(std::ostream& out) const {
+void peer_totals::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "received_query(";
-  out << "sender=" << to_string(sender);
+  out << "peer_totals(";
+  out << "gone=" << to_string(gone);
+  out << ", " << "totals=" << to_string(totals);
   out << ")";
 }
 
@@ -2806,12 +3172,8 @@
   this->receiver = val;
 }
 
-void received_reply::__set_last_n(const int64_t val) {
-  this->last_n = val;
-}
-
-void received_reply::__set_received(const std::map<std::string, int64_t> & val) {
-  this->received = val;
+void received_reply::__set_totals(const std::vector<peer_totals> & val) {
+  this->totals = val;
 }
 std::ostream& operator<<(std::ostream& out, const received_reply& obj)
 {
@@ -2858,32 +3220,21 @@
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->last_n);
-          this->__isset.last_n = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_MAP) {
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->received.clear();
-            uint32_t _size98;
-            ::apache::thrift::protocol::TType _ktype99;
-            ::apache::thrift::protocol::TType _vtype100;
-            xfer += iprot->readMapBegin(_ktype99, _vtype100, _size98);
-            uint32_t _i102;
-            for (_i102 = 0; _i102 < _size98; ++_i102)
+            this->totals.clear();
+            uint32_t _size126;
+            ::apache::thrift::protocol::TType _etype129;
+            xfer += iprot->readListBegin(_etype129, _size126);
+            this->totals.resize(_size126);
+            uint32_t _i130;
+            for (_i130 = 0; _i130 < _size126; ++_i130)
             {
-              std::string _key103;
-              xfer += iprot->readString(_key103);
-              int64_t& _val104 = this->received[_key103];
-              xfer += iprot->readI64(_val104);
+              xfer += this->totals[_i130].read(iprot);
             }
-            xfer += iprot->readMapEnd();
+            xfer += iprot->readListEnd();
           }
-          this->__isset.received = true;
+          this->__isset.totals = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2913,20 +3264,15 @@
   xfer += oprot->writeString(this->receiver);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("last_n", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->last_n);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("received", ::apache::thrift::protocol::T_MAP, 4);
+  xfer += oprot->writeFieldBegin("totals", ::apache::thrift::protocol::T_LIST, 3);
   {
-    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->received.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter105;
-    for (_iter105 = this->received.begin(); _iter105 != this->received.end(); ++_iter105)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->totals.size()));
+    std::vector<peer_totals> ::const_iterator _iter131;
+    for (_iter131 = this->totals.begin(); _iter131 != this->totals.end(); ++_iter131)
     {
-      xfer += oprot->writeString(_iter105->first);
-      xfer += oprot->writeI64(_iter105->second);
+      xfer += (*_iter131).write(oprot);
     }
-    xfer += oprot->writeMapEnd();
+    xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
@@ -2939,24 +3285,21 @@
   using ::std::swap;
   swap(a.code, b.code);
   swap(a.receiver, b.receiver);
-  swap(a.last_n, b.last_n);
-  swap(a.received, b.received);
+  swap(a.totals, b.totals);
   swap(a.__isset, b.__isset);
 }
 
-received_reply::received_reply(const received_reply& other106) {
-  code = other106.code;
-  receiver = other106.receiver;
-  last_n = other106.last_n;
-  received = other106.received;
-  __isset = other106.__isset;
+received_reply::received_reply(const received_reply& other132) {
+  code = other132.code;
+  receiver = other132.receiver;
+  totals = other132.totals;
+  __isset = other132.__isset;
 }
-received_reply& received_reply::operator=(const received_reply& other107) {
-  code = other107.code;
-  receiver = other107.receiver;
-  last_n = other107.last_n;
-  received = other107.received;
-  __isset = other107.__isset;
+received_reply& received_reply::operator=(const received_reply& other133) {
+  code = other133.code;
+  receiver = other133.receiver;
+  totals = other133.totals;
+  __isset = other133.__isset;
   return *this;
 }
 void received_reply::printTo(std::ostream& out) const {
@@ -2964,8 +3307,7 @@
   out << "received_reply(";
   out << "code=" << to_string(code);
   out << ", " << "receiver=" << to_string(receiver);
-  out << ", " << "last_n=" << to_string(last_n);
-  out << ", " << "received=" << to_string(received);
+  out << ", " << "totals=" << to_string(totals);
   out << ")";
 }
 
--- a/modules/peer/gen/peer_types.h
+++ b/modules/peer/gen/peer_types.h
@@ -47,12 +47,16 @@
 
 class transfer_reply;
 
-class transfer_offer;
-
 class transfer_ack;
 
+class transfer_offer;
+
 class received_query;
 
+class transfer_total;
+
+class peer_totals;
+
 class received_reply;
 
 typedef struct _hello__isset {
@@ -636,13 +640,14 @@
 std::ostream& operator<<(std::ostream& out, const config_reply& obj);
 
 typedef struct _forward_request__isset {
-  _forward_request__isset() : account(false), key(false), kind(false), body(false), content_type(false), timeout_ms(false) {}
+  _forward_request__isset() : account(false), key(false), kind(false), body(false), content_type(false), timeout_ms(false), attempt(false) {}
   bool account :1;
   bool key :1;
   bool kind :1;
   bool body :1;
   bool content_type :1;
   bool timeout_ms :1;
+  bool attempt :1;
 } _forward_request__isset;
 
 class forward_request : public virtual ::apache::thrift::TBase {
@@ -656,7 +661,8 @@
                     kind(),
                     body(),
                     content_type(),
-                    timeout_ms(0) {
+                    timeout_ms(0),
+                    attempt(0) {
   }
 
   virtual ~forward_request() noexcept;
@@ -666,6 +672,7 @@
   std::string body;
   std::string content_type;
   int64_t timeout_ms;
+  int32_t attempt;
 
   _forward_request__isset __isset;
 
@@ -681,6 +688,8 @@
 
   void __set_timeout_ms(const int64_t val);
 
+  void __set_attempt(const int32_t val);
+
   bool operator == (const forward_request & rhs) const
   {
     if (!(account == rhs.account))
@@ -695,6 +704,8 @@
       return false;
     if (!(timeout_ms == rhs.timeout_ms))
       return false;
+    if (!(attempt == rhs.attempt))
+      return false;
     return true;
   }
   bool operator != (const forward_request &rhs) const {
@@ -968,9 +979,72 @@
 
 std::ostream& operator<<(std::ostream& out, const transfer_reply& obj);
 
+typedef struct _transfer_ack__isset {
+  _transfer_ack__isset() : code(false), receiver(false), credited(false), refused(false) {}
+  bool code :1;
+  bool receiver :1;
+  bool credited :1;
+  bool refused :1;
+} _transfer_ack__isset;
+
+class transfer_ack : public virtual ::apache::thrift::TBase {
+ public:
+
+  transfer_ack(const transfer_ack&);
+  transfer_ack& operator=(const transfer_ack&);
+  transfer_ack() noexcept
+               : code(0),
+                 receiver() {
+  }
+
+  virtual ~transfer_ack() noexcept;
+  int32_t code;
+  std::string receiver;
+  std::vector<int64_t>  credited;
+  std::vector<int64_t>  refused;
+
+  _transfer_ack__isset __isset;
+
+  void __set_code(const int32_t val);
+
+  void __set_receiver(const std::string& val);
+
+  void __set_credited(const std::vector<int64_t> & val);
+
+  void __set_refused(const std::vector<int64_t> & val);
+
+  bool operator == (const transfer_ack & rhs) const
+  {
+    if (!(code == rhs.code))
+      return false;
+    if (!(receiver == rhs.receiver))
+      return false;
+    if (!(credited == rhs.credited))
+      return false;
+    if (!(refused == rhs.refused))
+      return false;
+    return true;
+  }
+  bool operator != (const transfer_ack &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const transfer_ack & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(transfer_ack &a, transfer_ack &b);
+
+std::ostream& operator<<(std::ostream& out, const transfer_ack& obj);
+
 typedef struct _transfer_offer__isset {
-  _transfer_offer__isset() : offers(false) {}
+  _transfer_offer__isset() : offers(false), ack(false) {}
   bool offers :1;
+  bool ack :1;
 } _transfer_offer__isset;
 
 class transfer_offer : public virtual ::apache::thrift::TBase {
@@ -983,15 +1057,22 @@
 
   virtual ~transfer_offer() noexcept;
   std::vector<transfer>  offers;
+  transfer_ack ack;
 
   _transfer_offer__isset __isset;
 
   void __set_offers(const std::vector<transfer> & val);
 
+  void __set_ack(const transfer_ack& val);
+
   bool operator == (const transfer_offer & rhs) const
   {
     if (!(offers == rhs.offers))
       return false;
+    if (__isset.ack != rhs.__isset.ack)
+      return false;
+    else if (__isset.ack && !(ack == rhs.ack))
+      return false;
     return true;
   }
   bool operator != (const transfer_offer &rhs) const {
@@ -1010,59 +1091,94 @@
 
 std::ostream& operator<<(std::ostream& out, const transfer_offer& obj);
 
-typedef struct _transfer_ack__isset {
-  _transfer_ack__isset() : code(false), sender(false), receiver(false), n(false) {}
-  bool code :1;
-  bool sender :1;
-  bool receiver :1;
-  bool n :1;
-} _transfer_ack__isset;
+typedef struct _received_query__isset {
+  _received_query__isset() : gone(false) {}
+  bool gone :1;
+} _received_query__isset;
 
-class transfer_ack : public virtual ::apache::thrift::TBase {
+class received_query : public virtual ::apache::thrift::TBase {
  public:
 
-  transfer_ack(const transfer_ack&);
-  transfer_ack& operator=(const transfer_ack&);
-  transfer_ack() noexcept
-               : code(0),
-                 sender(),
-                 receiver(),
-                 n(0) {
+  received_query(const received_query&);
+  received_query& operator=(const received_query&);
+  received_query() noexcept {
   }
 
-  virtual ~transfer_ack() noexcept;
-  int32_t code;
-  std::string sender;
-  std::string receiver;
-  int64_t n;
+  virtual ~received_query() noexcept;
+  std::vector<std::string>  gone;
 
-  _transfer_ack__isset __isset;
+  _received_query__isset __isset;
 
-  void __set_code(const int32_t val);
+  void __set_gone(const std::vector<std::string> & val);
 
-  void __set_sender(const std::string& val);
+  bool operator == (const received_query & rhs) const
+  {
+    if (!(gone == rhs.gone))
+      return false;
+    return true;
+  }
+  bool operator != (const received_query &rhs) const {
+    return !(*this == rhs);
+  }
 
-  void __set_receiver(const std::string& val);
+  bool operator < (const received_query & ) const;
 
-  void __set_n(const int64_t val);
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
 
-  bool operator == (const transfer_ack & rhs) const
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(received_query &a, received_query &b);
+
+std::ostream& operator<<(std::ostream& out, const received_query& obj);
+
+typedef struct _transfer_total__isset {
+  _transfer_total__isset() : budget(false), sent(false), received(false) {}
+  bool budget :1;
+  bool sent :1;
+  bool received :1;
+} _transfer_total__isset;
+
+class transfer_total : public virtual ::apache::thrift::TBase {
+ public:
+
+  transfer_total(const transfer_total&);
+  transfer_total& operator=(const transfer_total&);
+  transfer_total() noexcept
+                 : budget(),
+                   sent(0),
+                   received(0) {
+  }
+
+  virtual ~transfer_total() noexcept;
+  std::string budget;
+  int64_t sent;
+  int64_t received;
+
+  _transfer_total__isset __isset;
+
+  void __set_budget(const std::string& val);
+
+  void __set_sent(const int64_t val);
+
+  void __set_received(const int64_t val);
+
+  bool operator == (const transfer_total & rhs) const
   {
-    if (!(code == rhs.code))
-      return false;
-    if (!(sender == rhs.sender))
+    if (!(budget == rhs.budget))
       return false;
-    if (!(receiver == rhs.receiver))
+    if (!(sent == rhs.sent))
       return false;
-    if (!(n == rhs.n))
+    if (!(received == rhs.received))
       return false;
     return true;
   }
-  bool operator != (const transfer_ack &rhs) const {
+  bool operator != (const transfer_total &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const transfer_ack & ) const;
+  bool operator < (const transfer_total & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1070,42 +1186,48 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(transfer_ack &a, transfer_ack &b);
+void swap(transfer_total &a, transfer_total &b);
 
-std::ostream& operator<<(std::ostream& out, const transfer_ack& obj);
+std::ostream& operator<<(std::ostream& out, const transfer_total& obj);
 
-typedef struct _received_query__isset {
-  _received_query__isset() : sender(false) {}
-  bool sender :1;
-} _received_query__isset;
+typedef struct _peer_totals__isset {
+  _peer_totals__isset() : gone(false), totals(false) {}
+  bool gone :1;
+  bool totals :1;
+} _peer_totals__isset;
 
-class received_query : public virtual ::apache::thrift::TBase {
+class peer_totals : public virtual ::apache::thrift::TBase {
  public:
 
-  received_query(const received_query&);
-  received_query& operator=(const received_query&);
-  received_query() noexcept
-                 : sender() {
+  peer_totals(const peer_totals&);
+  peer_totals& operator=(const peer_totals&);
+  peer_totals() noexcept
+              : gone() {
   }
 
-  virtual ~received_query() noexcept;
-  std::string sender;
+  virtual ~peer_totals() noexcept;
+  std::string gone;
+  std::vector<transfer_total>  totals;
 
-  _received_query__isset __isset;
+  _peer_totals__isset __isset;
 
-  void __set_sender(const std::string& val);
+  void __set_gone(const std::string& val);
 
-  bool operator == (const received_query & rhs) const
+  void __set_totals(const std::vector<transfer_total> & val);
+
+  bool operator == (const peer_totals & rhs) const
   {
-    if (!(sender == rhs.sender))
+    if (!(gone == rhs.gone))
+      return false;
+    if (!(totals == rhs.totals))
       return false;
     return true;
   }
-  bool operator != (const received_query &rhs) const {
+  bool operator != (const peer_totals &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const received_query & ) const;
+  bool operator < (const peer_totals & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1113,16 +1235,15 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(received_query &a, received_query &b);
+void swap(peer_totals &a, peer_totals &b);
 
-std::ostream& operator<<(std::ostream& out, const received_query& obj);
+std::ostream& operator<<(std::ostream& out, const peer_totals& obj);
 
 typedef struct _received_reply__isset {
-  _received_reply__isset() : code(false), receiver(false), last_n(false), received(false) {}
+  _received_reply__isset() : code(false), receiver(false), totals(false) {}
   bool code :1;
   bool receiver :1;
-  bool last_n :1;
-  bool received :1;
+  bool totals :1;
 } _received_reply__isset;
 
 class received_reply : public virtual ::apache::thrift::TBase {
@@ -1132,15 +1253,13 @@
   received_reply& operator=(const received_reply&);
   received_reply() noexcept
                  : code(0),
-                   receiver(),
-                   last_n(0) {
+                   receiver() {
   }
 
   virtual ~received_reply() noexcept;
   int32_t code;
   std::string receiver;
-  int64_t last_n;
-  std::map<std::string, int64_t>  received;
+  std::vector<peer_totals>  totals;
 
   _received_reply__isset __isset;
 
@@ -1148,9 +1267,7 @@
 
   void __set_receiver(const std::string& val);
 
-  void __set_last_n(const int64_t val);
-
-  void __set_received(const std::map<std::string, int64_t> & val);
+  void __set_totals(const std::vector<peer_totals> & val);
 
   bool operator == (const received_reply & rhs) const
   {
@@ -1158,9 +1275,7 @@
       return false;
     if (!(receiver == rhs.receiver))
       return false;
-    if (!(last_n == rhs.last_n))
-      return false;
-    if (!(received == rhs.received))
+    if (!(totals == rhs.totals))
       return false;
     return true;
   }
--- a/modules/peer/peer.thrift
+++ b/modules/peer/peer.thrift
@@ -87,6 +87,8 @@
   4: string body
   5: string content_type
   6: i64 timeout_ms
+  // The caller's number of its attempt, 0 if it does not count them.
+  7: i32 attempt
 }
 
 // `outcome` is a run_outcome: 0 answered, 1 not run, 2 unknown.
@@ -121,29 +123,41 @@
   2: list<transfer> offers
 }
 
-// Delivers transfers again until they are acknowledged.
+// Answers to transfers by their numbers. A refused one is not credited and never will be, so its
+// sender takes it back.
+struct transfer_ack {
+  1: i32 code
+  2: string receiver
+  3: list<i64> credited
+  4: list<i64> refused
+}
+
+// Delivers transfers again until they are acknowledged; `ack` answers earlier ones of the receiver
+// of this message.
 struct transfer_offer {
   1: list<transfer> offers
+  2: optional transfer_ack ack
 }
 
-// All transfers of the sender up to and including `n` have been credited.
-struct transfer_ack {
-  1: i32 code
-  2: string sender
-  3: string receiver
-  4: i64 n
+// Asks for the totals exchanged with incarnations that are being closed. The asked peer refuses
+// every later transfer from and to them before it answers.
+struct received_query {
+  1: list<string> gone
 }
 
-// Asks what was received from an incarnation that is being closed. The asked peer refuses every
-// later transfer from it before it answers.
-struct received_query {
-  1: string sender
+struct transfer_total {
+  1: string budget
+  2: i64 sent
+  3: i64 received
+}
+
+struct peer_totals {
+  1: string gone
+  2: list<transfer_total> totals
 }
 
 struct received_reply {
   1: i32 code
   2: string receiver
-  3: i64 last_n
-  // Total amount received from the sender by budget.
-  4: map<string, i64> received
+  3: list<peer_totals> totals
 }
--- a/modules/requests/key_home.cpp
+++ b/modules/requests/key_home.cpp
@@ -90,11 +90,11 @@
 home_decision key_home::elsewhere(home_decision decision, std::string_view account,
                                   std::string_view key, const incarnation_info& info)
 {
-    if (info.state == incarnation_state::live) {
+    if (info.state == home_state::live) {
         decision.peer_address = info.peer_address;
         return decision;
     }
-    if (info.state == incarnation_state::drained && info.records &&
+    if (info.state == home_state::drained && info.records &&
         info.records->incarnation() == decision.incarnation &&
         info.records->proves_not_run(account, key, decision.epoch)) {
         return refuse({result_code::draining,
--- a/modules/requests/key_home.h
+++ b/modules/requests/key_home.h
@@ -14,7 +14,7 @@
 {
 
 /// What this instance knows about an incarnation.
-enum class incarnation_state {
+enum class home_state {
     live,    ///< known and not proved gone; it may be unreachable
     drained, ///< it ended in good order and left final records
     gone,    ///< unknown, dead or closed
@@ -22,7 +22,7 @@
 
 /// Answer of an incarnation_directory.
 struct incarnation_info {
-    incarnation_state state{incarnation_state::gone};
+    home_state state{home_state::gone};
     std::string peer_address;                     ///< set if live
     std::shared_ptr<const final_records> records; ///< set if drained and already read
 };
--- a/modules/requests/tests/execution_registry_tests.cpp
+++ b/modules/requests/tests/execution_registry_tests.cpp
@@ -203,8 +203,8 @@
     [[nodiscard]] incarnation_info find(const std::string& name) const
     {
         const auto i = static_cast<std::size_t>(name[0] - '0');
-        return alive[i]     ? incarnation_info{incarnation_state::live, "", nullptr}
-               : records[i] ? incarnation_info{incarnation_state::drained, "", records[i]}
+        return alive[i]     ? incarnation_info{home_state::live, "", nullptr}
+               : records[i] ? incarnation_info{home_state::drained, "", records[i]}
                             : incarnation_info{};
     }
 
--- a/modules/requests/tests/key_tests.cpp
+++ b/modules/requests/tests/key_tests.cpp
@@ -72,7 +72,7 @@
 
 TEST(keys, only_the_home_runs_a_key)
 {
-    directory.known["b-1"] = {incarnation_state::live, "10.0.0.2:7000", nullptr};
+    directory.known["b-1"] = {home_state::live, "10.0.0.2:7000", nullptr};
     CHECK(decide(key_of("a-1")) == home_action::run_here);
     CHECK(decide(key_of("b-1")) == home_action::forward);
     CHECK(decide(key_of("gone-1")) == home_action::outcome_unknown);
@@ -92,7 +92,7 @@
           std::pair{final_records{"e-1", 0, {}}, home_action::outcome_unknown}}) {
         const auto copy = final_records::from_json(records.to_json());
         CHECK(copy && *copy == records);
-        directory.known["d-1"] = {incarnation_state::drained, "",
+        directory.known["d-1"] = {home_state::drained, "",
                                   std::make_shared<const final_records>(*copy)};
         CHECK(decide(key_of("d-1")) == expected);
     }
@@ -104,7 +104,7 @@
 // Guards against a run under a row whose insert is not known to have taken effect (G5).
 TEST(keys, an_intent_row_names_the_home)
 {
-    directory.known["b-1"] = {incarnation_state::live, "10.0.0.2:7000", nullptr};
+    directory.known["b-1"] = {home_state::live, "10.0.0.2:7000", nullptr};
     CHECK(after({intent_outcome::inserted, {"a-1", 3}}) == home_action::run_here);
     CHECK(after({intent_outcome::exists, {"a-1", 3}}) == home_action::run_here);
     CHECK(after({intent_outcome::exists, {"b-1", 3}}) == home_action::forward);
--- a/modules/router/instance_directory.cpp
+++ b/modules/router/instance_directory.cpp
@@ -25,13 +25,13 @@
     const auto row = rows_.find(incarnation);
     if (row != rows_.end() && row->second.state == incarnation_state::drained) {
         const auto records = records_.find(incarnation);
-        return {key_home_state::drained, {}, records == records_.end() ? nullptr : records->second};
+        return {home_state::drained, {}, records == records_.end() ? nullptr : records->second};
     }
     const bool closed = row != rows_.end() && row->second.state != incarnation_state::active;
     if (closed || (!member && row == rows_.end())) {
-        return {key_home_state::gone, {}, nullptr};
+        return {home_state::gone, {}, nullptr};
     }
-    return {key_home_state::live, member ? member->entry.peer_address : row->second.peer_address,
+    return {home_state::live, member ? member->entry.peer_address : row->second.peer_address,
             nullptr};
 }
 
--- a/modules/router/router.cpp
+++ b/modules/router/router.cpp
@@ -192,8 +192,6 @@
             [this](const auto& request) { return transfers_.answer(request); });
         handler.offer_transfer = when_serving<wire::transfer_offer>(
             [this](const auto& request) { return transfers_.answer(request); });
-        handler.finish_transfer = when_serving<wire::transfer_done>(
-            [this](const auto& request) { return transfers_.answer(request); });
         handler.query_received = when_serving<wire::received_query>(
             [this](const auto& request) { return transfers_.answer(request); });
         return handler;
--- a/modules/router/transfer_service.cpp
+++ b/modules/router/transfer_service.cpp
@@ -60,9 +60,9 @@
     bool credited = false;
     const auto ack = credit(reply->offers, credited);
     // If this message is lost, the sender offers the transfer again.
-    wire::transfer_done done;
-    done.ack = ack;
-    peers_.call(holder->peer_address, done, timeout_);
+    wire::transfer_offer acknowledgement;
+    acknowledgement.__set_ack(ack);
+    peers_.call(holder->peer_address, acknowledgement, timeout_);
     return credited;
 }
 
@@ -108,21 +108,23 @@
 
 wire::transfer_ack transfer_service::answer(const wire::transfer_offer& offer)
 {
+    if (offer.__isset.ack) {
+        take_ack(offer.ack);
+    }
     bool credited = false;
     return credit(offer.offers, credited);
 }
 
-wire::transfer_done transfer_service::answer(const wire::transfer_done& done)
+void transfer_service::take_ack(const wire::transfer_ack& ack)
 {
     budgets_.with_book([&](grant_book&) {
-        for (const auto n : done.ack.credited) {
-            book_.acknowledge(done.ack.receiver, n);
+        for (const auto n : ack.credited) {
+            book_.acknowledge(ack.receiver, n);
         }
-        for (const auto n : done.ack.refused) {
-            book_.take_back(done.ack.receiver, n);
+        for (const auto n : ack.refused) {
+            book_.take_back(ack.receiver, n);
         }
     });
-    return {};
 }
 
 wire::received_reply transfer_service::answer(const wire::received_query& query)
@@ -173,9 +175,7 @@
     if (!ack || ack->receiver != receiver) {
         return false;
     }
-    wire::transfer_done done;
-    done.ack = *ack;
-    answer(done);
+    take_ack(*ack);
     return true;
 }
 
--- a/modules/router/transfer_service.h
+++ b/modules/router/transfer_service.h
@@ -31,10 +31,10 @@
 
     wire::transfer_reply answer(const wire::transfer_request& request);
     wire::transfer_ack answer(const wire::transfer_offer& offer);
-    wire::transfer_done answer(const wire::transfer_done& done);
     wire::received_reply answer(const wire::received_query& query);
 
 private:
+    void take_ack(const wire::transfer_ack& ack);
     bool deliver(const std::string& receiver, const std::vector<transfer>& transfers);
     void settle_with_closed(const std::string& receiver, const std::vector<transfer>& transfers);
     wire::transfer_ack credit(const std::vector<wire::transfer>& offers, bool& credited);
--- a/modules/standins/engine_book.cpp
+++ b/modules/standins/engine_book.cpp
@@ -130,9 +130,9 @@
     }
 }
 
-load_report engine_book::load() const
+server_load engine_book::load() const
 {
-    load_report report;
+    server_load report;
     report.running = static_cast<std::int64_t>(running_.size());
     report.queued = static_cast<std::int64_t>(queue_.size());
     report.slots = speed_.slots;
--- a/modules/standins/engine_book.h
+++ b/modules/standins/engine_book.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "backend/cancel_result.h"
-#include "backend/load_report.h"
+#include "backend/server_load.h"
 #include "backend/usage.h"
 #include "core/time_ms.h"
 #include "standins/engine_answer.h"
@@ -75,7 +75,7 @@
     void advance(time_ms now);
 
     /// Runs and queued requests right now.
-    [[nodiscard]] load_report load() const;
+    [[nodiscard]] server_load load() const;
 
     /// Tokens consumed by budget since the start.
     [[nodiscard]] const std::map<std::string, budget_spend>& spend() const { return spend_; }
--- a/modules/standins/engine_standin.cpp
+++ b/modules/standins/engine_standin.cpp
@@ -415,7 +415,7 @@
     engine_book book_;
     engine_faults faults_;
     fencing_check fencing_;
-    std::deque<std::pair<time_ms, load_report>> loads_{{clock_.now(), book_.load()}};
+    std::deque<std::pair<time_ms, server_load>> loads_{{clock_.now(), book_.load()}};
     time_ms leaving_since_{0};
     time_ms latest_start_after_leaving_{0};
     std::int64_t starts_{0};
