Add public headers of config, platform and the platform stand-in

Other modules build against these; the sources follow. The configuration loader is a template over the table_store port, so that the router, ctl and tests share one reader of the tables.

--- /dev/null
+++ b/modules/config/config_loader.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "config/config_codec.h"
+#include "config/config_rows.h"
+#include "platform/table_store.h"
+
+#include <cstddef>
+
+namespace jujubevalve
+{
+
+/// Rows for each scan.
+inline constexpr std::size_t config_scan_rows = 1000;
+
+/// All rows whose key has the prefix and is greater than `after`, in key order. Blocks.
+template <table_store Store>
+result<std::vector<table_row>> scan_all(Store& store, const std::string& prefix,
+                                        std::string after = {})
+{
+    std::vector<table_row> rows;
+    for (;;) {
+        const auto page = store.scan(prefix, after, config_scan_rows);
+        if (!page) {
+            return page.why();
+        }
+        rows.insert(rows.end(), page->begin(), page->end());
+        if (page->size() < config_scan_rows) {
+            return rows;
+        }
+        after = rows.back().key;
+    }
+}
+
+/// The value of one row, or an empty text if it is absent. Blocks.
+template <table_store Store>
+result<std::string> load_value(Store& store, std::string_view key)
+{
+    const auto rows = store.read({std::string{key}});
+    if (!rows) {
+        return rows.why();
+    }
+    if (rows->size() != 1) {
+        return failure{result_code::malformed_row, "the platform returned no row for a read key"};
+    }
+    return rows->front().version == 0 ? std::string{} : rows->front().value;
+}
+
+/// The version of `config/head`, 0 on a platform without configuration. Blocks.
+template <table_store Store>
+result<std::int64_t> load_config_version(Store& store)
+{
+    const auto text = load_value(store, config_head_key);
+    return text ? decode_config_head(*text) : result<std::int64_t>{text.why()};
+}
+
+/// The log entries after the version, in order and without a gap. Blocks.
+template <table_store Store>
+result<std::vector<config_log_entry>> load_log(Store& store, std::int64_t after_version)
+{
+    const auto rows =
+        scan_all(store, std::string{config_log_prefix}, config_log_key(after_version));
+    if (!rows) {
+        return rows.why();
+    }
+    return decode_log(*rows, after_version);
+}
+
+/// Both tables at one version. The head is read before and after the tables; `platform_conflict` if
+/// it changed meanwhile in every attempt. Blocks.
+template <table_store Store>
+result<config_snapshot> load_snapshot(Store& store, int attempts = 5)
+{
+    for (int i = 0; i < attempts; ++i) {
+        const auto before = load_config_version(store);
+        if (!before) {
+            return before.why();
+        }
+        const auto entry = load_value(store, config_log_key(*before));
+        const auto routes = scan_all(store, std::string{routes_prefix});
+        const auto pools = scan_all(store, std::string{pools_prefix});
+        const auto after = load_config_version(store);
+        if (!entry || !routes || !pools || !after) {
+            return !entry    ? entry.why()
+                   : !routes ? routes.why()
+                   : !pools  ? pools.why()
+                             : after.why();
+        }
+        if (*before == *after) {
+            return decode_tables(*before, *entry, *routes, *pools);
+        }
+    }
+    return failure{result_code::platform_conflict,
+                   "config/head changed during each of several reads of the tables"};
+}
+
+} // namespace jujubevalve
--- /dev/null
+++ b/modules/platform/http_platform.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "core/time_ms.h"
+#include "platform/instance_list.h"
+#include "platform/object_store.h"
+#include "platform/table_store.h"
+
+#include <memory>
+#include <string>
+
+namespace jujubevalve
+{
+
+/// How to reach the platform.
+struct http_platform_options {
+    std::string address;    ///< ip:port
+    std::string credential; ///< bearer credential; appears in no message
+    time_ms connect_timeout{1000};
+    time_ms timeout{5000}; ///< of each call; a commit without an answer by then is `unknown`
+};
+
+/// The platform's table service, object store and instance list over HTTP. Calls block; safe to use
+/// from any thread. A refused connection and a 503 are `unavailable`, a lost answer is `unknown`.
+class http_platform
+{
+public:
+    explicit http_platform(const http_platform_options& options);
+    ~http_platform();
+    http_platform(const http_platform&) = delete;
+    http_platform& operator=(const http_platform&) = delete;
+
+    /// Commits a transaction. Never sends it twice.
+    [[nodiscard]] commit_result commit(const transaction& change);
+
+    /// Reads rows; version 0 for absent ones. Fails with `platform_unavailable`.
+    [[nodiscard]] result<std::vector<table_row>> read(const std::vector<std::string>& keys);
+
+    /// Reads rows by prefix. Fails with `platform_unavailable`.
+    [[nodiscard]] result<std::vector<table_row>> scan(const std::string& prefix,
+                                                      const std::string& after, std::size_t limit);
+
+    /// Writes an object. Fails with `platform_unavailable`, or with `platform_outcome_unknown` if
+    /// it may have taken effect.
+    [[nodiscard]] status put(const std::string& name, const std::string& content);
+
+    /// Reads an object. Fails with `unknown_name` or `platform_unavailable`.
+    [[nodiscard]] result<std::string> get(const std::string& name);
+
+    /// Names of the objects with the prefix, in order. Fails with `platform_unavailable`.
+    [[nodiscard]] result<std::vector<std::string>> list(const std::string& prefix);
+
+    /// The list of instances. Fails with `platform_unavailable`.
+    [[nodiscard]] result<std::vector<listed_instance>> instances();
+
+private:
+    class impl;
+    std::unique_ptr<impl> impl_;
+};
+
+static_assert(table_store<http_platform>);
+static_assert(object_store<http_platform>);
+static_assert(instance_list<http_platform>);
+
+} // namespace jujubevalve
--- /dev/null
+++ b/modules/standins/memory_table_store.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "platform/table_store.h"
+#include "standins/memory_faults.h"
+
+#include <map>
+#include <memory>
+#include <mutex>
+
+namespace jujubevalve
+{
+
+/// Transactional table in memory. Safe from any thread; calls never wait.
+class memory_table_store
+{
+public:
+    explicit memory_table_store(
+        std::shared_ptr<memory_faults> faults = std::make_shared<memory_faults>());
+
+    [[nodiscard]] commit_result commit(const transaction& change);
+    [[nodiscard]] result<std::vector<table_row>> read(const std::vector<std::string>& keys);
+    [[nodiscard]] result<std::vector<table_row>> scan(const std::string& prefix,
+                                                      const std::string& after, std::size_t limit);
+
+    [[nodiscard]] memory_faults& faults() { return *faults_; }
+
+private:
+    [[nodiscard]] table_row row_of(const std::string& key) const;
+
+    std::shared_ptr<memory_faults> faults_;
+    std::mutex mutex_;
+    std::map<std::string, table_row, std::less<>> rows_;
+    // Versions count over the whole store, so that a row that is removed and made again never has
+    // a version that an earlier read returned.
+    std::int64_t last_version_{0};
+};
+
+static_assert(table_store<memory_table_store>);
+
+} // namespace jujubevalve
