--- a/modules/standins/standins.h
+++ b/modules/standins/standins.h
@@ -10,3 +10,8 @@
 #include "standins/service_answer.h"
 #include "standins/service_standin.h"
 #include "standins/stop_signal.h"
+#include "standins/memory_faults.h"
+#include "standins/memory_instance_list.h"
+#include "standins/memory_object_store.h"
+#include "standins/memory_table_store.h"
+#include "standins/platform_server.h"
