--- a/modules/budget/budget.h
+++ b/modules/budget/budget.h
@@ -17,5 +17,4 @@
 #include "budget/segment_reader.h"
 #include "budget/segment_writer.h"
 #include "budget/static_shares.h"
-#include "budget/term_row.h"
 #include "budget/transfer_book.h"
--- a/modules/budget/grant_planner.cpp
+++ b/modules/budget/grant_planner.cpp
@@ -3,7 +3,6 @@
 #include "budget/instance_row.h"
 #include "budget/ledger_row.h"
 #include "budget/row_keys.h"
-#include "budget/term_row.h"
 
 #include <algorithm>
 #include <utility>
@@ -99,7 +98,7 @@
 
 status grant_planner::check_fences(grant_book& book, const row_map& rows) const
 {
-    const auto term = parse_term_row(row_at(rows, std::string{term_key}).value);
+    const auto term = decode_term(row_at(rows, std::string{term_key}).value);
     if (!term) {
         return term.why();
     }
--- a/modules/budget/row_keys.cpp
+++ b/modules/budget/row_keys.cpp
@@ -5,11 +5,6 @@
 namespace jujubevalve
 {
 
-std::string ledger_key(std::string_view budget)
-{
-    return fmt::format("ledger/{}", budget);
-}
-
 std::string grant_prefix(std::string_view budget)
 {
     return fmt::format("grant/{}/", budget);
@@ -25,11 +20,6 @@
     return fmt::format("instance/{}", incarnation);
 }
 
-std::string pool_key(std::string_view pool)
-{
-    return fmt::format("pools/{}", pool);
-}
-
 std::string segment_prefix(std::string_view incarnation)
 {
     return fmt::format("segments/{}/", incarnation);
--- a/modules/budget/row_keys.h
+++ b/modules/budget/row_keys.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "config/config_rows.h"
+
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -7,16 +9,10 @@
 namespace jujubevalve
 {
 
-/// Key of the row that holds the current term.
-inline constexpr std::string_view term_key = "term";
-
 /// Segment number of the segment that recovery writes. An incarnation never reaches it, so a late
 /// put by the incarnation cannot replace it.
 inline constexpr std::int64_t recovery_segment_seq = 999'999'999'999;
 
-/// Key of a budget's ledger row.
-std::string ledger_key(std::string_view budget);
-
 /// Prefix of all grant rows of a budget.
 std::string grant_prefix(std::string_view budget);
 
@@ -26,9 +22,6 @@
 /// Key of an incarnation's instance row.
 std::string instance_key(std::string_view incarnation);
 
-/// Key of a row of the pools table.
-std::string pool_key(std::string_view pool);
-
 /// Prefix of the object names of an incarnation's segments.
 std::string segment_prefix(std::string_view incarnation);
 
--- a/modules/budget/tests/fleet.h
+++ b/modules/budget/tests/fleet.h
@@ -46,7 +46,7 @@
 struct fleet {
     explicit fleet(std::size_t size, token_count limit_tokens, token_count margin = 0)
     {
-        platform.put("term", to_text(term_row{test_term, "braithwaite"}));
+        platform.put("term", encode(term_row{test_term, "braithwaite"}));
         set_limit(limit_tokens, margin);
         for (std::size_t i = 0; i < size; ++i) {
             add_node();
--- a/modules/router/membership_service.cpp
+++ b/modules/router/membership_service.cpp
@@ -58,7 +58,7 @@
     std::function<void(const config_source&)> fetch;
     {
         const std::lock_guard lock{mutex_};
-        table_.merge(to_digest(*reply), clock_.now(), address);
+        table_.merge(to_digest(*reply), clock_.now());
         newer = table_.newer_config(clock_.now());
         fetch = fetch_;
     }
--- a/modules/router/recovery_service.cpp
+++ b/modules/router/recovery_service.cpp
@@ -1,5 +1,7 @@
 #include "router/recovery_service.h"
 
+#include "requests/server_sequence.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <spdlog/spdlog.h>
