Add strict table codecs, whole-table validation, history and apply planner

Operators edit both tables by hand, so every fault of a file is reported at once with table, row, field, value and range. The apply planner is pure; the config_applier template drives it over any table_store. A conflict on the head is resolved by the apply_id in the log, because the head may have been moved by an own commit whose answer was lost.

Ruled out: refusing the removal of a pool whose budget has allocated tokens. Spent tokens stay allocated for good, so such a pool could never be removed; instead a budget that returns is checked against its ledger.

--- a/modules/config/apply_planner.h
+++ b/modules/config/apply_planner.h
@@ -2,6 +2,7 @@
 
 #include "config/config_changes.h"
 #include "config/config_log_entry.h"
+#include "config/config_rows.h"
 #include "core/result.h"
 #include "core/time_ms.h"
 #include "platform/table_store.h"
@@ -31,7 +32,8 @@
     plan_again, ///< read the rows and plan again; nothing has taken effect, or it would be repeated
     read_log,   ///< the outcome is not clear: read `resolve_keys()` and call `resolve`
     stale,      ///< another apply came first; the edit did not and will not take effect
-    unavailable, ///< the platform was not reached; the edit did not take effect
+    unavailable, ///< the platform was not reached; this commit did not take effect
+    refused,     ///< planning failed for good; the edit did not and will not take effect
 };
 
 /// Plans one apply: pure decisions over rows that the caller reads and commits.
@@ -39,6 +41,9 @@
 {
 public:
     explicit apply_planner(apply_request request);
+    ~apply_planner() = default;
+    apply_planner(const apply_planner&) = delete;
+    apply_planner& operator=(const apply_planner&) = delete;
 
     [[nodiscard]] const config_changes& changes() const { return changes_; }
 
@@ -64,9 +69,13 @@
     [[nodiscard]] result<apply_step> resolve(const std::vector<table_row>& rows) const;
 
 private:
+    [[nodiscard]] result<term_row> check_term(const std::vector<table_row>& rows) const;
+    [[nodiscard]] status check_head(const std::vector<table_row>& rows) const;
+    [[nodiscard]] status check_ledgers(const std::vector<table_row>& rows) const;
+
     apply_request request_;
     config_changes changes_;
-    std::map<std::string, token_count> lowered_; // budget to its new grantable tokens
+    std::map<std::string, const pool*> lowered_; // budget to one of its pools after the edit
 };
 
 /// A row that changed after the version an edit was made from.
--- a/modules/config/config.h
+++ b/modules/config/config.h
@@ -3,6 +3,7 @@
 /// Umbrella header of the config module: the two tables, their versions and their rows.
 #include "config/apply_planner.h"
 #include "config/backend_server.h"
+#include "config/config_applier.h"
 #include "config/config_changes.h"
 #include "config/config_codec.h"
 #include "config/config_history.h"
--- a/modules/config/config_codec.h
+++ b/modules/config/config_codec.h
@@ -22,9 +22,9 @@
 nlohmann::json to_json(const route& row);
 nlohmann::json to_json(const pool& row);
 
-/// Reads a table row. Every field is required but those with a default in
-/// docs/operations-tables.md, and no other field is accepted. Adds one failure for each fault,
-/// which names table, row, field, value and expected range, and returns nothing if there is any.
+/// Reads a table row. Every field is required, and no other field is accepted. Adds one failure for
+/// each fault, which names table, row, field, value and expected range, and returns nothing if
+/// there is any.
 std::optional<route> parse_route(const nlohmann::json& row, std::vector<failure>& errors);
 std::optional<pool> parse_pool(const nlohmann::json& row, std::vector<failure>& errors);
 
--- a/modules/config/config_rows.h
+++ b/modules/config/config_rows.h
@@ -16,6 +16,9 @@
 inline constexpr std::string_view pools_prefix = "pools/";
 inline constexpr std::string_view ledger_prefix = "ledger/";
 
+/// Largest version: log keys have 12 digits.
+inline constexpr std::int64_t max_config_version = 999'999'999'999;
+
 /// Key of the log entry of a version, with 12 digits so that key order is version order.
 std::string config_log_key(std::int64_t version);
 std::string route_key(std::string_view name);
--- /dev/null
+++ b/modules/config/tests/history_tests.cpp
@@ -0,0 +1,84 @@
+#include "table_fixtures.h"
+
+// Last, because it defines a macro named new.
+#include <CppUTest/TestHarness.h>
+
+using namespace jujubevalve;
+using namespace jujubevalve::fixtures;
+
+namespace
+{
+// Entry that adds a route named after its version.
+config_log_entry entry(std::int64_t version, std::int64_t term = 1)
+{
+    const auto row = a_route("r" + std::to_string(version));
+    return {version, "id", "ada", time_ms{version}, term, {{{row.name, std::nullopt, row}}, {}}};
+}
+} // namespace
+
+TEST_GROUP(history){};
+
+TEST(history, diff_and_changes_are_inverse)
+{
+    auto changed = a_route("b");
+    changed.max_tokens = 1;
+    const config_snapshot from{1, 1, routes({a_route("a"), a_route("b")}), pools({a_pool("p")})};
+    const config_snapshot to{1, 2, routes({changed, a_route("c")}), {}};
+    const auto changes = diff(from, to);
+    CHECK_EQUAL(4U, changes.size());
+    CHECK(with_changes(from, changes, 1, 2).value() == to);
+    CHECK(!with_changes(to, changes, 1, 3));
+    CHECK(diff(to, to).empty());
+}
+
+// Guards against a configuration that reverts (G8).
+TEST(history, never_goes_back)
+{
+    config_history history;
+    CHECK(history.adopt(entry(1)) == adopt_outcome::adopted);
+    CHECK(history.adopt(entry(2, 2)) == adopt_outcome::adopted);
+    CHECK(history.adopt(entry(1)) == adopt_outcome::already_known);
+    CHECK(history.adopt(entry(2, 2)) == adopt_outcome::already_known);
+    CHECK(history.adopt(entry(3, 1)) == adopt_outcome::lower_term);
+    CHECK(history.adopt(config_snapshot{1, 9, {}, {}}) == adopt_outcome::lower_term);
+    CHECK(history.adopt(config_snapshot{5, 2, {}, {}}) == adopt_outcome::already_known);
+    CHECK_EQUAL(2, history.version());
+    CHECK_EQUAL(2, history.term());
+    CHECK_EQUAL(2U, history.current()->routes().size());
+}
+
+TEST(history, reports_gaps_and_diverging_rows)
+{
+    config_history history;
+    CHECK(history.adopt(entry(2)) == adopt_outcome::gap);
+    CHECK(history.adopt(entry(1)) == adopt_outcome::adopted);
+    auto other = entry(1);
+    other.version = 2;
+    CHECK(history.adopt(other) == adopt_outcome::diverged);
+    CHECK_EQUAL(1, history.version());
+}
+
+// Guards against unbounded memory, and against a peer that gets a list with a hole.
+TEST(history, keeps_a_bounded_number_of_entries)
+{
+    config_history history{3};
+    for (std::int64_t version = 1; version <= 5; ++version) {
+        history.adopt(entry(version));
+    }
+    CHECK(!history.entries_since(1));
+    CHECK_EQUAL(3U, history.entries_since(2)->size());
+    CHECK_EQUAL(4, history.entries_since(3)->front().version);
+    CHECK_EQUAL(1U, history.entries_since(3, 1)->size());
+    CHECK(history.entries_since(5)->empty());
+    CHECK(history.adopt(config_snapshot{1, 8, {}, {}}) == adopt_outcome::adopted);
+    CHECK(!history.entries_since(5));
+}
+
+// Guards against readers whose tables change under them.
+TEST(history, a_snapshot_in_use_stays_as_it_is)
+{
+    config_history history;
+    const auto before = history.current();
+    history.adopt(entry(1));
+    CHECK(before->routes().empty());
+}
