http_client: add send_once for requests that must not be repeated

libcurl repeats a request by itself when a kept connection closes before the first byte of the answer. A commit repeated in this way answers 'conflict' although it took effect; in a trial with a server that closes kept connections a second commit was received twice. A 'Connection: close' request header was tried first and did not prevent it, since libcurl keeps the connection unless the server closes it too.

--- a/modules/http/http_client.cpp
+++ b/modules/http/http_client.cpp
@@ -107,6 +107,10 @@
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, &running);
     curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &write_header);
     curl_easy_setopt(handle, CURLOPT_HEADERDATA, &running);
+    if (call.send_once) {
+        curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
+        curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
+    }
     if (call.idle_timeout > time_ms{0}) {
         curl_easy_setopt(handle, CURLOPT_NOPROGRESS, 0L);
         curl_easy_setopt(handle, CURLOPT_XFERINFOFUNCTION, &check_idle);
--- a/modules/http/http_client.h
+++ b/modules/http/http_client.h
@@ -34,6 +34,10 @@
     /// If set, receives the body bytes of a 2xx response as they arrive; return false to stop.
     std::function<bool(std::string_view)> on_data;
     time_ms idle_timeout{0}; ///< with on_data: gives up after so long without a byte; 0 = never
+
+    /// Sends the request at most once, on a new connection. Otherwise libcurl repeats a request by
+    /// itself when a kept connection closes before the first byte of the answer.
+    bool send_once{false};
 };
 
 /// Blocking HTTP client on libcurl that keeps connections open. Safe to use from any thread.
