--- a/modules/standins/memory_faults.h
+++ b/modules/standins/memory_faults.h
@@ -14,6 +14,7 @@
     bool outage{false};       ///< every call fails and has no effect
     time_ms delay{0};         ///< the HTTP server waits so long before it runs a call
     double lost_answers{0.0}; ///< share of writes that take effect and lose their answer, 0 to 1
+    double late_writes{0.0};  ///< share of commits that answer `unknown` and run later, 0 to 1
     std::uint64_t seed{1};    ///< of the choice which answers are lost
 };
 
@@ -45,7 +46,12 @@
     /// Whether the answer of the write that just ran is lost.
     [[nodiscard]] bool lose_answer();
 
+    /// Whether the commit that is about to run is late.
+    [[nodiscard]] bool is_late();
+
 private:
+    bool draw(double probability);
+
     mutable std::mutex mutex_;
     fault_settings settings_;
     call_counts counts_;
--- a/modules/standins/memory_instance_list.h
+++ b/modules/standins/memory_instance_list.h
@@ -40,6 +40,7 @@
     using instance_map = std::map<std::string, listed_instance, std::less<>>;
 
     void record();
+    void forget_old();
 
     std::function<time_ms()> now_;
     time_ms lag_;
--- a/modules/standins/memory_table_store.h
+++ b/modules/standins/memory_table_store.h
@@ -22,14 +22,19 @@
     [[nodiscard]] result<std::vector<table_row>> scan(const std::string& prefix,
                                                       const std::string& after, std::size_t limit);
 
+    /// Runs the commits that were late; each is still subject to its conditions.
+    void run_late_writes();
+
     [[nodiscard]] memory_faults& faults() { return *faults_; }
 
 private:
+    commit_result run(const transaction& change);
     [[nodiscard]] table_row row_of(const std::string& key) const;
 
     std::shared_ptr<memory_faults> faults_;
     std::mutex mutex_;
     std::map<std::string, table_row, std::less<>> rows_;
+    std::vector<transaction> late_;
     // Versions count over the whole store, so that a row that is removed and made again never has
     // a version that an earlier read returned.
     std::int64_t last_version_{0};
