--- a/modules/router/service_context.h
+++ b/modules/router/service_context.h
@@ -2,6 +2,7 @@
 
 #include "backend/backend_client.h"
 #include "requests/requests.h"
+#include "router/request_context.h"
 #include "routing/routing.h"
 #include "router/budget_service.h"
 #include "router/config_service.h"
--- a/modules/router/transfer_service.cpp
+++ b/modules/router/transfer_service.cpp
@@ -73,7 +73,7 @@
     ack.receiver = members_.own().incarnation;
     for (const auto& offer : offers) {
         const auto answer = budgets_.with_book(
-            [&](grant_book&) { return book_.receive(to_transfer(offer)); });
+            [&](grant_book&) { return book_.receive(to_transfer(offer), clock_.now()); });
         if (!answer) {
             ack.code = static_cast<int>(answer.why().code);
             continue;
@@ -170,7 +170,7 @@
     }
     wire::transfer_offer offer;
     std::transform(transfers.begin(), transfers.end(), std::back_inserter(offer.offers),
-                   &to_message);
+                   [](const transfer& item) { return to_message(item); });
     const auto ack = peers_.call(member->entry.peer_address, offer, timeout_);
     if (!ack || ack->receiver != receiver) {
         return false;
--- a/modules/router/transfer_service.h
+++ b/modules/router/transfer_service.h
@@ -45,6 +45,7 @@
     peer_client& peers_;
     time_ms timeout_;
     counters& counts_;
+    steady_clock_ms clock_;
     transfer_book book_;
 };
 
