Add recovery of gone incarnations

The plan emits commands and consumes their answers, so that the runner owns all I/O. A group of gone incarnations is closed in one transaction per budget: closing one of two dead incarnations alone would give back tokens that the other has received and spent. Incarnations that nobody can ask delay the close; counting their transfers as zero was ruled out for that reason.

Evidence from a successor needs an answer on a connection opened after the predecessor was watched. An instance row of the same address is no evidence, because it may be the older of the two.

--- a/modules/recovery/gone_evidence.h
+++ b/modules/recovery/gone_evidence.h
@@ -20,15 +20,17 @@
     /// time that a request may run.
     gone_evidence(time_ms list_lag, time_ms longest_request);
 
-    /// An incarnation to watch, with its instance name and peer address.
+    /// An incarnation to watch, with its instance name and peer address as its instance row has
+    /// them. An incarnation writes that row after it has bound the address.
     void watch(std::string_view incarnation, std::string_view instance,
-               std::string_view peer_address);
+               std::string_view peer_address, time_ms now);
 
-    /// A later incarnation of the instance has bound this peer address. Proves that every other
-    /// incarnation that was watched with the same instance and address is gone. Report only what
-    /// a process said of itself after its bind, or its instance row.
-    void successor_bound(std::string_view incarnation, std::string_view instance,
-                         std::string_view peer_address);
+    /// A process answered on a connection to the peer address, opened at `connected_at`, that it
+    /// is this incarnation of the instance. Proves that any other incarnation of the same instance
+    /// and address that was watched before then is gone. Rows and gossip are no such proof: they
+    /// may be older than the watched incarnation.
+    void successor_answered(std::string_view incarnation, std::string_view instance,
+                            std::string_view peer_address, time_ms connected_at);
 
     /// A complete read of the platform's list. `asked_at` and `answered_at` are the times of this
     /// process before and after the call. A failed read is not reported.
@@ -48,6 +50,7 @@
     struct watched {
         std::string instance;
         std::string peer_address;
+        time_ms since{};
         bool succeeded{false};
         bool was_listed{false};
         std::optional<time_ms> first_absent; ///< answer of the first read that lacks it
--- a/modules/recovery/recovery.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "recovery/recovery.h"
--- a/modules/recovery/recovery_plan.h
+++ b/modules/recovery/recovery_plan.h
@@ -29,7 +29,9 @@
 /// What a recovery needs to know from the configuration.
 struct recovery_settings {
     std::int64_t term{0};
-    /// Every backend server that the incarnations may have used, with the budgets it serves.
+    std::int64_t at_ms{0}; ///< wall clock time for the audit entry
+    /// Every backend server that the incarnations may have used, with the budgets that it has
+    /// served since they started.
     std::map<std::string, std::set<std::string>> servers;
     /// Every budget of the configuration.
     std::set<std::string> budgets;
@@ -47,7 +49,7 @@
 {
 public:
     /// All members must be certainly gone (see `gone_evidence`).
-    recovery_plan(std::set<std::string> gone, recovery_settings settings);
+    recovery_plan(const std::set<std::string>& gone, recovery_settings settings);
     ~recovery_plan();
     recovery_plan(recovery_plan&&) noexcept;
     recovery_plan& operator=(recovery_plan&&) noexcept;
@@ -70,10 +72,14 @@
     /// if nothing is in the way. `term_fenced` ends the recovery for good.
     [[nodiscard]] std::vector<failure> obstacles() const;
 
+    /// Incarnations that did not answer. If one of them is gone as well, make a new plan for the
+    /// larger group.
+    [[nodiscard]] std::set<std::string> unreachable_peers() const;
+
     /// Budgets whose grants are closed.
     [[nodiscard]] const std::set<std::string>& closed_budgets() const;
 
-    /// Exact spend of a member under a budget, as far as known by now.
+    /// Spend of a member under a budget, as far as known by now; exact once the budget is closed.
     [[nodiscard]] token_count spend(const std::string& incarnation,
                                     const std::string& budget) const;
 
