--- /dev/null
+++ b/modules/load/answer_checker.cpp
@@ -0,0 +1,86 @@
+#include "load/answer_checker.h"
+
+#include <nlohmann/json.hpp>
+#include <optional>
+
+namespace jujubevalve
+{
+
+namespace
+{
+using nlohmann::json;
+
+// The text of the first choice's `part`, which is `delta` or `message`. Returns nothing if the
+// chunk has another form; a chunk without content has an empty text.
+std::optional<std::string> content_of(const json& chunk, const char* part)
+{
+    try {
+        const auto& choices = chunk.at("choices");
+        if (choices.empty()) {
+            return std::string{};
+        }
+        const auto& holder = choices.at(0).at(part);
+        const auto content = holder.find("content");
+        return content == holder.end() || content->is_null() ? std::string{}
+                                                             : content->get<std::string>();
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+} // namespace
+
+answer_checker::answer_checker(std::string_view prompt, token_count max_tokens)
+    : expected_{prompt, max_tokens}
+{
+}
+
+int answer_checker::feed(std::string_view bytes)
+{
+    int tokens = 0;
+    for (const auto& event : parser_.feed(bytes)) {
+        tokens += take(event);
+    }
+    wrong_ = wrong_ || parser_.failed();
+    return tokens;
+}
+
+int answer_checker::take(const sse_event& event)
+{
+    if (event.data == "[DONE]") {
+        ended_ = true;
+        return 0;
+    }
+    const auto chunk = json::parse(event.data, nullptr, false);
+    if (chunk.is_object() && chunk.contains("error")) {
+        broken_off_ = true;
+        return 0;
+    }
+    const auto text = content_of(chunk, "delta");
+    if (!text || ended_ || broken_off_) {
+        wrong_ = true;
+        return 0;
+    }
+    if (text->empty()) {
+        return 0;
+    }
+    // The id is the index of the token, so a repeated or missing chunk shows.
+    if (index_ >= expected_.size() || *text != expected_.token(index_) ||
+        event.id != std::to_string(index_)) {
+        wrong_ = true;
+        return 0;
+    }
+    ++index_;
+    return 1;
+}
+
+void answer_checker::check_body(const std::string& body)
+{
+    const auto text = content_of(json::parse(body, nullptr, false), "message");
+    ended_ = true;
+    wrong_ = !text || *text != expected_.text();
+    if (!wrong_) {
+        index_ = expected_.size();
+    }
+}
+
+} // namespace jujubevalve
