--- a/modules/requests/tests/execution_registry_tests.cpp
+++ b/modules/requests/tests/execution_registry_tests.cpp
@@ -312,22 +312,39 @@
 
     void order_once(std::size_t i, execution_id id, const execution_request& request)
     {
-        while (!chance(25) && registries[i].mark_sent(id)) {
-            if (chance(50)) {
-                registries[i].mark_not_delivered(id);
-                continue;
-            }
-            ++ran[request.key];
-            bills += (chance(50) ? registries[i].mark_answered(id, {}, {})
-                                 : registries[i].mark_unknown(id, lost, {}))
-                         ? 1
-                         : 0;
-            check(request.key, request.attempt);
+        open.push_back({i, id, request, false});
+    }
+
+    /// Moves one open execution on: it sends, learns what became of the order, or gives up.
+    void advance()
+    {
+        if (open.empty()) {
             return;
         }
-        if (registries[i].refuse(id, busy, {}) == run_outcome::not_run) {
-            refuse(request.key, request.attempt);
+        const auto at = open.begin() + static_cast<long>(random() % open.size());
+        auto& [i, id, request, delivered] = *at;
+        auto& registry = registries[i];
+        if (!alive[i]) {
+            open.erase(at);
+        } else if (chance(20)) {
+            if (registry.refuse(id, busy, {}) == run_outcome::not_run) {
+                refuse(request.key, request.attempt);
+            }
+            open.erase(at);
+        } else if (registry.mark_sent(id)) {
+            delivered = chance(50);
+            if (delivered) {
+                ++ran[request.key];
+                check(request.key, request.attempt);
+            }
+        } else if (!delivered) {
+            registry.mark_not_delivered(id);
+        } else if (chance(50)) {
+            bills += registry.mark_answered(id, {}, {}) ? 1 : 0;
+        } else {
+            bills += registry.mark_unknown(id, lost, {}) ? 1 : 0;
         }
+        CHECK(bills <= static_cast<int>(ran.size()));
     }
 
     void refuse(const std::string& key, int attempt)
@@ -345,19 +362,30 @@
         CHECK(attempt == 0 || attempt > refused[key]);
     }
 
+    /// An instance dies, or drains and ends with its last execution.
     void stop_one()
     {
         const auto i = random() % 3;
-        if (!alive[i]) {
-            return;
-        }
-        alive[i] = false;
-        if (chance(50)) {
+        if (alive[i] && chance(50)) {
+            alive[i] = false;
+        } else if (alive[i]) {
             registries[i].drain();
-            records[i] = std::make_shared<const final_records>(*registries[i].final({}));
+        }
+        for (std::size_t n = 0; n < 3; ++n) {
+            if (const auto done = alive[n] ? registries[n].final({}) : std::nullopt) {
+                alive[n] = false;
+                records[n] = std::make_shared<const final_records>(*done);
+            }
         }
     }
 
+    struct open_execution {
+        std::size_t instance;
+        execution_id id;
+        execution_request request;
+        bool delivered;
+    };
+
     std::mt19937 random;
     key_prefix prefixes{"secret"};
     std::vector<std::string> names;
@@ -370,6 +398,7 @@
     std::map<std::string, int> refused;
     std::map<std::string, std::string> row;
     std::vector<message> network;
+    std::vector<open_execution> open;
     bool alive[3]{true, true, true};
     std::shared_ptr<const final_records> records[3];
     int bills{0};
@@ -387,8 +416,10 @@
             const auto what = system.random() % 100;
             if (what < 30) {
                 system.attempt();
-            } else if (what < 98) {
+            } else if (what < 65) {
                 system.deliver();
+            } else if (what < 97) {
+                system.advance();
             } else {
                 system.stop_one();
             }
@@ -413,6 +444,7 @@
             }
             for (int step = 0; step < 30; ++step) {
                 system.deliver();
+                system.advance();
             }
             CHECK(system.ran[system.keys[k]] <= 1);
         }
