--- a/apps/router/main.cpp
+++ b/apps/router/main.cpp
@@ -17,10 +17,12 @@
 DEFINE_string(peer_listen, "127.0.0.1:0", "ip:port of the peer protocol; port 0 takes a free one");
 DEFINE_string(seeds, "", "ip:port,... of peers to ask first");
 DEFINE_string(platform, "", "ip:port of the platform's services");
-DEFINE_string(platform_credential, "", "bearer credential for the platform; better set by "
-                                       "JUJUBEVALVE_PLATFORM_CREDENTIAL");
-DEFINE_string(fleet_secret, "", "secret of the fleet, at least 16 characters; better set by "
-                                "JUJUBEVALVE_FLEET_SECRET");
+DEFINE_string(platform_credential, "",
+              "bearer credential for the platform; better set by "
+              "JUJUBEVALVE_PLATFORM_CREDENTIAL");
+DEFINE_string(fleet_secret, "",
+              "secret of the fleet, at least 16 characters; better set by "
+              "JUJUBEVALVE_FLEET_SECRET");
 DEFINE_int64(term, 1, "contract term that this fleet serves");
 DEFINE_string(policy, "demand-driven",
               "grant policy: demand-driven, static-shares or platform-per-request");
--- a/modules/recovery/recovery_plan.cpp
+++ b/modules/recovery/recovery_plan.cpp
@@ -263,7 +263,7 @@
 
     [[nodiscard]] status check_term(const row_map& rows) const
     {
-        const auto term = parse_term_row(row_of(rows, std::string{term_key}).value);
+        const auto term = decode_term(row_of(rows, std::string{term_key}).value);
         if (!term) {
             return term.why();
         }
--- a/modules/recovery/tests/recovery_tests.cpp
+++ b/modules/recovery/tests/recovery_tests.cpp
@@ -404,7 +404,7 @@
 {
     world at{2};
     let_first_die(at);
-    at.platform.put("term", to_text(term_row{test_term + 1, "next"}));
+    at.platform.put("term", encode(term_row{test_term + 1, "next"}));
     auto plan = at.recover({"router-0"});
     at.run(plan);
     plan.retry();
--- a/modules/router/budget_service.cpp
+++ b/modules/router/budget_service.cpp
@@ -18,8 +18,7 @@
 {
 }
 
-budget_service::policy_variant budget_service::make_policy(const std::string& name,
-                                                           time_ms horizon)
+budget_service::policy_variant budget_service::make_policy(const std::string& name, time_ms horizon)
 {
     if (name == "static-shares") {
         return static_shares{};
@@ -79,8 +78,8 @@
     const std::lock_guard lock{mutex_};
     const auto n = sequences_[server].take();
     if (!n) {
-        return failure{result_code::overloaded, "too many unsettled requests to backend server \"" +
-                                                    server + "\""};
+        return failure{result_code::overloaded,
+                       "too many unsettled requests to backend server \"" + server + "\""};
     }
     ticket.server = server;
     ticket.n = *n;
--- a/modules/router/call_service.cpp
+++ b/modules/router/call_service.cpp
@@ -123,10 +123,9 @@
         context_.peers.call(decision.peer_address, request, context_.settings.request_timeout);
     if (!reply) {
         const bool maybe_forwarded = reply.delivery != peer_delivery::not_delivered;
-        return refused(job,
-                       {result_code::key_home_gone,
-                        "the instance that may run this key does not answer"},
-                       key_home::refusal_away_from_home(job.attempt, maybe_forwarded));
+        return refused(
+            job, {result_code::key_home_gone, "the instance that may run this key does not answer"},
+            key_home::refusal_away_from_home(job.attempt, maybe_forwarded));
     }
     if (reply->code != 0) {
         auto answer = refused(job, {static_cast<result_code>(reply->code), reply->message},
@@ -154,8 +153,7 @@
         prepared.forwarded = true;
         const route_target target{request.account, row, pool,
                                   pool->servers_of.empty() ? pool->name : pool->servers_of};
-        const auto job =
-            prepare_target(std::move(prepared), target, request.kind, request.body);
+        const auto job = prepare_target(std::move(prepared), target, request.kind, request.body);
         answer = job ? run_non_idempotent(*job) : call_answer{refuse(job.why())};
     }
     wire::forward_reply reply;
@@ -230,9 +228,9 @@
     if (decision.action == home_action::forward) {
         context_.executions.with_registry([&](auto& all) { all.withdraw(id); });
         // Attempts that joined meanwhile are told to come again.
-        place.running->finish({failure{result_code::platform_conflict,
-                                       "another instance runs this key; try again"},
-                               run_outcome::unknown});
+        place.running->finish(
+            {failure{result_code::platform_conflict, "another instance runs this key; try again"},
+             run_outcome::unknown});
         context_.executions.ended(id);
         return forward(job, decision);
     }
@@ -253,17 +251,15 @@
 
 call_answer call_service::begin_here(const job& job, std::int64_t epoch)
 {
-    return take_place(job,
-                      context_.executions.begin(to_execution(job, epoch, true), clock_.now()));
+    return take_place(job, context_.executions.begin(to_execution(job, epoch, true), clock_.now()));
 }
 
 call_answer call_service::take_place(const job& job, const execution_table::place& place)
 {
     switch (place.begin.action) {
     case begin_action::start:
-        context_.runs.run([this, job, id = place.begin.id, running = place.running] {
-            run(job, id, *running);
-        });
+        context_.runs.run(
+            [this, job, id = place.begin.id, running = place.running] { run(job, id, *running); });
         return wait_for(job, place);
     case begin_action::join:
         return wait_for(job, place);
@@ -279,9 +275,8 @@
 
 call_answer call_service::wait_for(const job& job, const execution_table::place& place)
 {
-    const auto end = place.running
-                         ? place.running->wait_ended(context_.settings.request_timeout)
-                         : std::nullopt;
+    const auto end =
+        place.running ? place.running->wait_ended(context_.settings.request_timeout) : std::nullopt;
     if (!end) {
         return refused(job, {result_code::backend_timeout, "the call has not ended yet"},
                        run_outcome::unknown);
@@ -339,10 +334,10 @@
         return try_result::failed;
     }
     tried.push_back(choice->name);
-    const auto numbered = tried.size() <= most_servers_tried
-                              ? context_.budgets.assign(ticket, choice->name)
-                              : failure{result_code::backend_refused,
-                                        "several backend servers refused the call"};
+    const auto numbered =
+        tried.size() <= most_servers_tried
+            ? context_.budgets.assign(ticket, choice->name)
+            : failure{result_code::backend_refused, "several backend servers refused the call"};
     const bool may_send =
         numbered && context_.executions.with_registry([&](auto& all) { return all.mark_sent(id); });
     if (!may_send) {
@@ -370,9 +365,9 @@
     using ending = backend_selector::ending;
     const bool ok = ended.end == backend_end::ended;
     context_.pools.finished(job.target.server_set, choice.name,
-                            ok                                     ? ending::succeeded
+                            ok                                  ? ending::succeeded
                             : ended.end == backend_end::refused ? ending::neutral
-                                                                   : ending::failed);
+                                                                : ending::failed);
     if (ok) {
         finish_answered(job, id, running, ticket, ended);
         return try_result::done;
@@ -397,8 +392,8 @@
                                    const spend_ticket& ticket, const call_result& ended)
 {
     const bool first = context_.executions.with_registry([&](auto& all) {
-        return all.mark_answered(
-            id, {ended.http_status, ended.content_type, ended.body, job.cost}, clock_.now());
+        return all.mark_answered(id, {ended.http_status, ended.content_type, ended.body, job.cost},
+                                 clock_.now());
     });
     spend_report report;
     report.used = job.cost;
--- a/modules/router/caller_api.cpp
+++ b/modules/router/caller_api.cpp
@@ -82,12 +82,12 @@
 
 std::string last_chunk(const std::string& model, const std::optional<token_usage>& usage)
 {
-    const json body{{"object", "chat.completion.chunk"},
-                    {"model", model},
-                    {"choices", json::array({{{"index", 0},
-                                              {"delta", json::object()},
-                                              {"finish_reason", "stop"}}})},
-                    {"usage", usage_json(usage)}};
+    const json body{
+        {"object", "chat.completion.chunk"},
+        {"model", model},
+        {"choices",
+         json::array({{{"index", 0}, {"delta", json::object()}, {"finish_reason", "stop"}}})},
+        {"usage", usage_json(usage)}};
     return "data: " + body.dump() + "\n\ndata: [DONE]\n\n";
 }
 
@@ -173,13 +173,13 @@
     }
     const std::string_view path = request.path;
     const bool get = request.method == "GET";
-    const bool is_post_path =
-        path == "/v1/chat/completions" ||
-        (path.starts_with(calls_path) && path.size() > calls_path.size());
+    const bool is_post_path = path == "/v1/chat/completions" ||
+                              (path.starts_with(calls_path) && path.size() > calls_path.size());
     const bool is_get_path =
         path == "/v1/instances" || path == "/healthz" || path == "/readyz" || path == "/metrics";
     if (!is_post_path && !is_get_path) {
-        return refusal_response(refuse({result_code::unknown_path, "no such path: " + request.path}));
+        return refusal_response(
+            refuse({result_code::unknown_path, "no such path: " + request.path}));
     }
     if (is_get_path != get || (is_post_path && request.method != "POST")) {
         return refusal_response(refuse({result_code::method_not_allowed,
@@ -215,15 +215,16 @@
         return found == request.query.end() ? std::string{} : found->second;
     };
     json list = json::array();
-    for (const auto& item : context_.members.addresses({asked("failure_domain"), asked("region")})) {
+    for (const auto& item :
+         context_.members.addresses({asked("failure_domain"), asked("region")})) {
         list.push_back({{"instance", item.instance},
                         {"address", item.http_address},
                         {"failure_domain", item.failure_domain}});
     }
     json body{{"valid_ms", addresses_valid.count()}, {"instances", list}};
     if (!context_.draining) {
-        body["key_prefix"] =
-            prefixes_.issue(context_.incarnation, context_.executions.epoch(clock_.now()), *account);
+        body["key_prefix"] = prefixes_.issue(context_.incarnation,
+                                             context_.executions.epoch(clock_.now()), *account);
         body["key_home"] = context_.members.own().http_address;
     }
     return json_response(200, body);
@@ -280,8 +281,7 @@
 
 http_response caller_api::call(const http_request& request)
 {
-    auto answer =
-        calls_.call(to_caller_request(request), request.path.substr(calls_path.size()));
+    auto answer = calls_.call(to_caller_request(request), request.path.substr(calls_path.size()));
     if (answer.refused) {
         return refusal_response(*answer.refused);
     }
@@ -324,8 +324,8 @@
     auto response = json_response(describe(refused.why.code).http_status, error_body(refused));
     if (refused.retry_after > time_ms{0}) {
         constexpr std::int64_t ms_per_second = 1000;
-        response.headers["Retry-After"] = std::to_string(
-            (refused.retry_after.count() + ms_per_second - 1) / ms_per_second);
+        response.headers["Retry-After"] =
+            std::to_string((refused.retry_after.count() + ms_per_second - 1) / ms_per_second);
     }
     ++context_.counts.at("refused_" + std::string{describe(refused.why.code).name});
     return response;
--- a/modules/router/chat_service.cpp
+++ b/modules/router/chat_service.cpp
@@ -13,7 +13,9 @@
 std::string metadata_of(const std::string& account, const std::string& key, token_count reserved,
                         const std::string& budget)
 {
-    return nlohmann::json{{"account", account}, {"key", key}, {"budget", budget}, {"reserved", reserved}}.dump();
+    return nlohmann::json{
+        {"account", account}, {"key", key}, {"budget", budget}, {"reserved", reserved}}
+        .dump();
 }
 } // namespace
 
@@ -40,9 +42,8 @@
     auto job = std::move(prepared).value();
     started.stream = job.chat.stream;
     started.model = job.chat.model;
-    const execution_request wanted{job.account, request.idempotency_key, job.chat.body_digest,
-                                   true,        0,                       request.attempt,
-                                   true};
+    const execution_request wanted{
+        job.account, request.idempotency_key, job.chat.body_digest, true, 0, request.attempt, true};
     const auto place = context_.executions.begin(wanted, clock_.now());
     switch (place.begin.action) {
     case begin_action::start:
@@ -97,8 +98,8 @@
             return good.why();
         }
     }
-    result.key = request.idempotency_key.empty() ? "auto." + random_hex(16)
-                                                 : request.idempotency_key;
+    result.key =
+        request.idempotency_key.empty() ? "auto." + random_hex(16) : request.idempotency_key;
     const auto answer = request_parser::answer_tokens(result.chat, *target->route_row);
     if (!answer) {
         return answer.why();
@@ -133,10 +134,9 @@
         !context_.executions.with_registry([&](auto& all) { return all.mark_sent(job.id); })) {
         return false;
     }
-    job.running->set_resume(
-        tokens_.issue(*job.resume, job.account, job.chat.body_digest));
-    const auto ended = context_.backends.resume(*address, make_request(job, job.resume->backend_key),
-                                                make_sink(job));
+    job.running->set_resume(tokens_.issue(*job.resume, job.account, job.chat.body_digest));
+    const auto ended = context_.backends.resume(
+        *address, make_request(job, job.resume->backend_key), make_sink(job));
     if (ended.end == backend_end::ended) {
         ++context_.counts.at("chats_resumed");
         // The spend belongs to the incarnation that started the run.
@@ -157,9 +157,9 @@
 {
     time_ms retry_after{};
     const auto& row = *job.target.route_row;
-    const auto slot = context_.pools.admit(job.target.server_set, job.account, job.reservation,
-                                           row.priority, context_.settings.admission_wait,
-                                           retry_after);
+    const auto slot =
+        context_.pools.admit(job.target.server_set, job.account, job.reservation, row.priority,
+                             context_.settings.admission_wait, retry_after);
     if (!slot) {
         finish_refused(job, slot.why(), retry_after);
         return;
@@ -181,8 +181,8 @@
 chat_service::try_result chat_service::try_server(const job& job, spend_ticket& ticket,
                                                   std::vector<std::string>& tried)
 {
-    const auto choice = context_.pools.choose(job.target.server_set,
-                                              {job.chat.prompt_start, true, tried});
+    const auto choice =
+        context_.pools.choose(job.target.server_set, {job.chat.prompt_start, true, tried});
     if (!choice || tried.size() >= most_servers_tried) {
         if (choice) {
             context_.pools.finished(job.target.server_set, choice->name,
@@ -196,8 +196,8 @@
     }
     tried.push_back(choice->name);
     const auto key = context_.budgets.assign(ticket, choice->name);
-    if (!key || !context_.executions.with_registry(
-                    [&](auto& all) { return all.mark_sent(job.id); })) {
+    if (!key ||
+        !context_.executions.with_registry([&](auto& all) { return all.mark_sent(job.id); })) {
         context_.pools.finished(job.target.server_set, choice->name,
                                 backend_selector::ending::neutral);
         if (key) {
@@ -206,8 +206,7 @@
         context_.budgets.release(ticket);
         return try_result::try_next;
     }
-    job.running->set_resume(
-        tokens_.issue({choice->name, *key}, job.account, job.chat.body_digest));
+    job.running->set_resume(tokens_.issue({choice->name, *key}, job.account, job.chat.body_digest));
     const auto ended =
         context_.backends.run(choice->address, make_request(job, *key), make_sink(job));
     return conclude(job, ticket, *choice, *key, ended);
@@ -221,14 +220,16 @@
     const bool ok = ended.end == backend_end::ended;
     const bool refused = ended.end == backend_end::refused;
     context_.pools.finished(job.target.server_set, choice.name,
-                            ok ? ending::succeeded : refused ? ending::neutral : ending::failed);
+                            ok        ? ending::succeeded
+                            : refused ? ending::neutral
+                                      : ending::failed);
     if (ok) {
         spend_report report;
         if (ended.used) {
             report.used = ended.used->total();
         }
-        report.bill = bill_entry{job.account, job.key, ticket.budget,
-                                 report.used.value_or(ticket.reserved)};
+        report.bill =
+            bill_entry{job.account, job.key, ticket.budget, report.used.value_or(ticket.reserved)};
         context_.budgets.settle(ticket, report);
         finish_answered(job, ended.used);
         return try_result::done;
@@ -255,7 +256,8 @@
 {
     engine_request request;
     request.key = key;
-    request.metadata = metadata_of(job.account, job.key, job.reservation, job.target.pool_row->budget);
+    request.metadata =
+        metadata_of(job.account, job.key, job.reservation, job.target.pool_row->budget);
     request.body = request_parser::engine_body(job.chat, job.answer_tokens);
     request.priority = job.target.route_row->priority;
     request.max_tokens = job.answer_tokens;
@@ -282,10 +284,10 @@
     }
     ++context_.counts.at("chats_answered");
     context_.executions.with_registry([&](auto& all) {
-        return all.mark_answered(job.id,
-                                 {200, "text/plain", job.running->text(),
-                                  used ? used->total() : job.reservation},
-                                 clock_.now());
+        return all.mark_answered(
+            job.id,
+            {200, "text/plain", job.running->text(), used ? used->total() : job.reservation},
+            clock_.now());
     });
     job.running->finish(std::move(end));
 }
@@ -310,9 +312,8 @@
     end.why = why;
     end.try_next = context_.members.alternatives();
     ++context_.counts.at("chats_lost");
-    context_.executions.with_registry([&](auto& all) {
-        return all.mark_unknown(job.id, std::move(why), clock_.now());
-    });
+    context_.executions.with_registry(
+        [&](auto& all) { return all.mark_unknown(job.id, std::move(why), clock_.now()); });
     job.running->finish(std::move(end));
 }
 
--- a/modules/router/config_service.cpp
+++ b/modules/router/config_service.cpp
@@ -17,8 +17,7 @@
 constexpr char pools_cursor = 'p';
 
 template <class Table>
-std::vector<std::string> rows_after(const Table& table, const std::string& after,
-                                    std::string& last)
+std::vector<std::string> rows_after(const Table& table, const std::string& after, std::string& last)
 {
     std::vector<std::string> rows;
     for (auto row = table.upper_bound(after); row != table.end(); ++row) {
@@ -211,8 +210,8 @@
 
 wire::config_reply config_service::answer(const wire::config_request& request) const
 {
-    auto reply = request.snapshot ? answer_tables(request.cursor)
-                                  : answer_entries(request.since_version);
+    auto reply =
+        request.snapshot ? answer_tables(request.cursor) : answer_entries(request.since_version);
     const auto current = snapshot();
     reply.term = current->term();
     reply.version = current->version();
--- a/modules/router/periodic_task.cpp
+++ b/modules/router/periodic_task.cpp
@@ -8,7 +8,9 @@
 {
 
 periodic_task::periodic_task(time_ms interval, std::function<void()> run)
-    : interval_{interval}, run_{std::move(run)}, thread_{[this] { loop(); }}
+    : interval_{interval}
+    , run_{std::move(run)}
+    , thread_{[this] { loop(); }}
 {
 }
 
--- a/modules/router/recovery_service.cpp
+++ b/modules/router/recovery_service.cpp
@@ -72,18 +72,19 @@
     const auto rows = directory_.rows();
     const std::lock_guard lock{evidence_mutex_};
     for (const auto& row : rows) {
-        const bool open = row.state == incarnation_state::active ||
-                          row.state == incarnation_state::recovering;
+        const bool open =
+            row.state == incarnation_state::active || row.state == incarnation_state::recovering;
         if (open && row.incarnation != own_.incarnation &&
             watched_.insert(row.incarnation).second) {
-            evidence_.watch(row.incarnation, row.instance, row.peer_address);
+            evidence_.watch(row.incarnation, row.instance, row.peer_address, clock_.now());
         }
         if (!open && watched_.erase(row.incarnation) > 0) {
             evidence_.forget(row.incarnation);
         }
     }
     // This process holds the bound peer address, so earlier processes that used it are gone.
-    evidence_.successor_bound(own_.incarnation, own_.instance, own_.peer_address);
+    evidence_.successor_answered(own_.incarnation, own_.instance, own_.peer_address,
+                                 clock_.now() + time_ms{1});
 }
 
 std::set<std::string> recovery_service::gone_incarnations()
--- a/modules/router/router.cpp
+++ b/modules/router/router.cpp
@@ -68,8 +68,8 @@
         , peers_{to_peer_options(settings_, incarnation_), counts_}
         , backends_{to_backend_options(settings_), counts_}
         , pools_{backends_, counts_}
-        , budgets_{incarnation_, settings.term, settings.policy,
-                   settings.grant_horizon, platform_, counts_}
+        , budgets_{incarnation_,           settings.term, settings.policy,
+                   settings.grant_horizon, platform_,     counts_}
         , config_{settings.term, platform_,
                   peers_,        settings.peer_timeout,
                   counts_,       [this](const config_snapshot& config) { adopt(config); }}
@@ -82,11 +82,22 @@
         , members_{make_entry(), settings_, peers_}
         , directory_{members_, platform_}
         , transfers_{budgets_, members_, platform_, peers_, settings.peer_timeout, counts_}
-        , recovery_{own_,      settings_, platform_, peers_, backends_,
-                    pools_,    config_,   directory_, counts_}
-        , context_{settings_,  incarnation_, config_,   members_, directory_,
-                   budgets_,   pools_,       backends_, executions_, platform_,
-                   peers_,     counts_,      runs_,     draining_,
+        , recovery_{own_,   settings_, platform_,  peers_, backends_,
+                    pools_, config_,   directory_, counts_}
+        , context_{settings_,
+                   incarnation_,
+                   config_,
+                   members_,
+                   directory_,
+                   budgets_,
+                   pools_,
+                   backends_,
+                   executions_,
+                   platform_,
+                   peers_,
+                   counts_,
+                   runs_,
+                   draining_,
                    [this](const std::string& budget, token_count tokens) {
                        return transfers_.request(budget, tokens);
                    }}
@@ -310,8 +321,7 @@
     {
         const auto records =
             executions_.with_registry([this](auto& all) { return all.final(clock_.now()); });
-        if (!records ||
-            !platform_.put(final_records_name(incarnation_), records->to_json())) {
+        if (!records || !platform_.put(final_records_name(incarnation_), records->to_json())) {
             return false;
         }
         const auto key = instance_key(incarnation_);
--- a/modules/router/router_settings.h
+++ b/modules/router/router_settings.h
@@ -36,7 +36,7 @@
     time_ms request_timeout{minutes(5)}; ///< longest run of one request
     time_ms peer_timeout{2000};
     time_ms caller_idle_timeout{30'000};
-    time_ms stopping_grace{2000}; ///< after the drain is announced, before the listener closes
+    time_ms stopping_grace{2000};      ///< after the drain is announced, before the listener closes
     time_ms recovery_records{600'000}; ///< how far back engine records must go to prove "not run"
     std::string policy{"demand-driven"};
 };
--- a/modules/router/server_pools.cpp
+++ b/modules/router/server_pools.cpp
@@ -71,7 +71,8 @@
     std::unique_lock lock{mutex_};
     auto* const group = find(server_set);
     if (group == nullptr) {
-        return failure{result_code::no_backend_server, "no servers for pool \"" + server_set + "\""};
+        return failure{result_code::no_backend_server,
+                       "no servers for pool \"" + server_set + "\""};
     }
     const auto id = ++last_id_;
     const auto now = clock_.now();
@@ -120,7 +121,8 @@
     const std::lock_guard lock{mutex_};
     auto* const group = find(server_set);
     if (group == nullptr) {
-        return failure{result_code::no_backend_server, "no servers for pool \"" + server_set + "\""};
+        return failure{result_code::no_backend_server,
+                       "no servers for pool \"" + server_set + "\""};
     }
     return group->selector.choose(wish, clock_.now());
 }
--- a/modules/router/service_context.h
+++ b/modules/router/service_context.h
@@ -2,16 +2,16 @@
 
 #include "backend/backend_client.h"
 #include "requests/requests.h"
-#include "router/request_context.h"
-#include "routing/routing.h"
 #include "router/budget_service.h"
 #include "router/config_service.h"
 #include "router/execution_table.h"
 #include "router/instance_directory.h"
 #include "router/membership_service.h"
+#include "router/request_context.h"
 #include "router/router_settings.h"
 #include "router/server_pools.h"
 #include "router/task_group.h"
+#include "routing/routing.h"
 
 #include <atomic>
 #include <functional>
--- a/modules/router/transfer_service.cpp
+++ b/modules/router/transfer_service.cpp
@@ -132,8 +132,8 @@
     wire::received_reply reply;
     reply.receiver = members_.own().incarnation;
     for (const auto& gone : query.gone) {
-        const auto totals = budgets_.with_book(
-            [&](grant_book&) { return book_.totals_for_recovery(gone); });
+        const auto totals =
+            budgets_.with_book([&](grant_book&) { return book_.totals_for_recovery(gone); });
         wire::peer_totals message;
         message.gone = gone;
         for (const auto& total : totals) {
@@ -195,8 +195,7 @@
         }
         const auto found = row->received.find(members_.own().incarnation);
         const auto total = found == row->received.end() ? 0 : found->second;
-        budgets_.with_book(
-            [&](grant_book&) { book_.settle_closed(receiver, budget, total); });
+        budgets_.with_book([&](grant_book&) { book_.settle_closed(receiver, budget, total); });
     }
 }
 
