--- a/modules/requests/execution_registry.h
+++ b/modules/requests/execution_registry.h
@@ -73,10 +73,12 @@
 
 /// Bounds of an execution_registry.
 struct registry_limits {
-    std::size_t max_non_idempotent{500'000};         ///< records of non-idempotent keys
-    std::size_t max_idempotent{10'000};              ///< records of finished idempotent executions
-    std::size_t max_answer_bytes{64U * 1024 * 1024}; ///< sum of the kept answers' bodies
-    time_ms idempotent_retention{minutes(10)};       ///< how long a finished answer is kept
+    /// Records of non-idempotent keys; a record takes less than 671 bytes, so that the default
+    /// stays below the 64 MB of a node. Further keys are refused until an epoch expires.
+    std::size_t max_non_idempotent{100'000};
+    std::size_t max_idempotent{10'000};        ///< records of finished idempotent executions
+    std::size_t max_answer_bytes{16'777'216};  ///< sum of the kept answers' bodies
+    time_ms idempotent_retention{minutes(10)}; ///< how long a finished answer is kept
 };
 
 /// The executions of this incarnation by client account and key. Not synchronised: the caller
