--- a/modules/routing/admission_queue.cpp
+++ b/modules/routing/admission_queue.cpp
@@ -16,6 +16,8 @@
 admission_queue::admission_queue(admission_options options)
     : options_{options}
 {
+    // A quantum of 0 would never let a request pass.
+    options_.quantum_tokens = std::max(options_.quantum_tokens, min_cost);
 }
 
 admission_change admission_queue::set_share(std::int64_t slots, std::int64_t instances, time_ms now)
