--- a/modules/config/table_file.cpp
+++ b/modules/config/table_file.cpp
@@ -4,6 +4,8 @@
 #include "config/config_rows.h"
 #include "config/row_reader.h"
 
+#include <algorithm>
+#include <array>
 #include <fmt/format.h>
 
 namespace jujubevalve
@@ -13,6 +15,8 @@
 
 namespace
 {
+std::string servers_text(const json& servers, const std::string& indent);
+
 template <class Row, class Parse>
 std::map<std::string, Row, std::less<>> parse_table(std::string_view table_name, const json& list,
                                                     Parse parse, std::vector<failure>& errors)
@@ -35,20 +39,53 @@
     return table;
 }
 
-template <class Row>
+constexpr std::array route_fields{
+    "name",       "account",  "key_digest", "request_kind",      "pool",
+    "idempotent", "priority", "max_tokens", "fixed_cost_tokens", "max_request_bytes"};
+constexpr std::array pool_fields{
+    "name",   "kind",         "servers_of",           "servers",
+    "budget", "limit_tokens", "safety_margin_tokens", "checks_fencing"};
+constexpr std::array server_fields{"name", "address", "failure_domain", "slots", "leaving"};
+
+// The fields in the given order, each on a line of its own if there is an indent.
+template <std::size_t N>
+std::string object_text(const json& object, const std::array<const char*, N>& fields,
+                        const std::string& indent)
+{
+    std::string text = "{";
+    for (const auto* const field : fields) {
+        const auto& value = object.at(field);
+        if (text.size() > 1) {
+            text += indent.empty() ? ", " : ",";
+        }
+        text += indent;
+        text += fmt::format("\"{}\": {}", field,
+                            value.is_array() ? servers_text(value, indent) : value.dump());
+    }
+    return text + indent.substr(0, indent.size() - std::min<std::size_t>(indent.size(), 2)) + "}";
+}
+
+std::string servers_text(const json& servers, const std::string& indent)
+{
+    std::string text = "[";
+    const char* separator = "";
+    for (const auto& server : servers) {
+        text += separator + indent + "  " + object_text(server, server_fields, {});
+        separator = ",";
+    }
+    return text + (servers.empty() ? "" : indent) + "]";
+}
+
+template <class Row, std::size_t N>
 void append_table(std::string& text, std::string_view table_name,
-                  const std::map<std::string, Row, std::less<>>& table)
+                  const std::map<std::string, Row, std::less<>>& table,
+                  const std::array<const char*, N>& fields)
 {
     text += fmt::format(",\n  \"{}\": [", table_name);
-    const char* separator = "\n";
+    const char* separator = "\n    ";
     for (const auto& [name, row] : table) {
-        auto lines = nlohmann::ordered_json::parse(to_json(row).dump()).dump(2);
-        for (std::size_t at = lines.find('\n'); at != std::string::npos;
-             at = lines.find('\n', at + 1)) {
-            lines.insert(at + 1, "    ");
-        }
-        text += fmt::format("{}    {}", separator, lines);
-        separator = ",\n";
+        text += separator + object_text(to_json(row), fields, "\n      ");
+        separator = ",\n    ";
     }
     text += table.empty() ? "]" : "\n  ]";
 }
@@ -86,10 +123,10 @@
 {
     auto text = fmt::format("{{\n  \"version\": {}", file.version.value_or(0));
     if (file.routes) {
-        append_table(text, "routes", *file.routes);
+        append_table(text, "routes", *file.routes, route_fields);
     }
     if (file.pools) {
-        append_table(text, "pools", *file.pools);
+        append_table(text, "pools", *file.pools, pool_fields);
     }
     return text + "\n}\n";
 }
--- a/modules/standins/tests/platform_server_tests.cpp
+++ b/modules/standins/tests/platform_server_tests.cpp
@@ -18,7 +18,7 @@
 {
 struct remote_platform {
     platform_server server{{"127.0.0.1:0", "secret", time_ms{0}}};
-    http_platform platform{{server.address(), "secret", time_ms{500}, time_ms{500}}};
+    http_platform platform{{server.address(), "secret"}};
 
     commit_outcome write(const std::string& key, std::int64_t version)
     {
@@ -73,7 +73,9 @@
             while (take_request(peer) && requests_ == 1) {
                 const std::string_view answer = "HTTP/1.1 200 OK\r\nContent-Length: 23\r\n\r\n"
                                                 R"({"outcome":"committed"})";
-                CHECK(send(peer, answer.data(), answer.size(), MSG_NOSIGNAL) > 0);
+                if (send(peer, answer.data(), answer.size(), MSG_NOSIGNAL) < 0) {
+                    break;
+                }
             }
             close(peer);
         }
@@ -166,8 +168,9 @@
 TEST(platform_over_http, a_slow_commit_is_unknown_and_takes_effect_later)
 {
     remote_platform remote;
-    remote.server.faults().set({false, time_ms{800}});
-    CHECK(remote.write("a", 0) == commit_outcome::unknown);
+    remote.server.faults().set({false, time_ms{2000}});
+    http_platform hasty{{remote.server.address(), "secret", time_ms{1000}, time_ms{200}}};
+    CHECK(hasty.commit({{}, {{"a", "value"}}, {}}).outcome == commit_outcome::unknown);
     CHECK_EQUAL(0, remote.server.tables().read({"a"})->front().version);
     remote.server.stop(); // waits for the handler
     CHECK(remote.server.tables().read({"a"})->front().version != 0);
