--- a/apps/ctl/handover_check.cpp
+++ b/apps/ctl/handover_check.cpp
@@ -29,7 +29,7 @@
         for (const auto step :
              {&handover_checker::check_configuration, &handover_checker::check_segments,
               &handover_checker::check_grants, &handover_checker::check_instances}) {
-            const auto done = (this->*step)();
+            auto done = (this->*step)();
             if (!done && done.why().code != result_code::malformed_row) {
                 return done;
             }
@@ -121,7 +121,7 @@
             return names.why();
         }
         for (const auto& [incarnation, list] : *names) {
-            const auto checked = check_segments_of(incarnation, list);
+            auto checked = check_segments_of(incarnation, list);
             if (!checked) {
                 return checked;
             }
--- a/apps/ctl/view_commands.cpp
+++ b/apps/ctl/view_commands.cpp
@@ -75,7 +75,7 @@
         if (found == names->end()) {
             continue;
         }
-        const auto added = add_spent(platform, found->second, budgets_of, max_segments, budgets);
+        auto added = add_spent(platform, found->second, budgets_of, max_segments, budgets);
         if (!added) {
             return added;
         }
--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,67 @@
+# Functions that start and stop a small deployment on loopback with free ports. Sourced by
+# scripts/demo and the process tests; needs the variables bin (folder of the programs) and
+# work (an empty folder for logs and process ids).
+
+declare -A pid_of address_of
+
+# start NAME PROGRAM [FLAG...] starts a program and waits for its "listening" line.
+start() {
+  local name=$1 program=$2
+  shift 2
+  "$bin/$program" "$@" >"$work/$name.out" 2>"$work/$name.log" &
+  pid_of[$name]=$!
+  for _ in $(seq 1 200); do
+    address_of[$name]=$(awk '$1 == "listening" {print $2}' "$work/$name.out")
+    [ -n "${address_of[$name]}" ] && return 0
+    kill -0 "${pid_of[$name]}" 2>/dev/null || break
+    sleep 0.05
+  done
+  echo "error: $program ($name) did not start:" >&2
+  cat "$work/$name.log" >&2
+  return 1
+}
+
+# wait_exit NAME SECONDS waits for a program to end and returns its exit code, 124 after the limit.
+wait_exit() {
+  for _ in $(seq 1 $(($2 * 20))); do
+    if ! kill -0 "${pid_of[$1]}" 2>/dev/null; then
+      wait "${pid_of[$1]}"
+      return
+    fi
+    sleep 0.05
+  done
+  return 124
+}
+
+# stop_all ends everything that start has started.
+stop_all() {
+  local name
+  for name in "${!pid_of[@]}"; do
+    kill -KILL "${pid_of[$name]}" 2>/dev/null || continue
+  done
+  wait 2>/dev/null
+}
+
+# start_router NAME FAILURE_DOMAIN starts an entry instance that knows the routers in `seeds`.
+start_router() {
+  local name=$1 domain=$2
+  start "$name" jujubevalve-router --instance="$name" --failure_domain="$domain" \
+    --region=jm-south --seeds="$seeds" --settle_ms=500 --config_poll_ms=500 --gossip_ms=300 \
+    --stopping_grace_ms=500 --recovery_records_ms=0
+  seeds+=${seeds:+,}$(awk '{print $4}' "$work/$name.out")
+}
+
+# wait_ready NAME waits until a router takes requests.
+wait_ready() {
+  for _ in $(seq 1 200); do
+    curl -sf -m 2 "http://${address_of[$1]}/readyz" >/dev/null && return 0
+    sleep 0.05
+  done
+  echo "error: $1 did not become ready" >&2
+  return 1
+}
+
+# number FIELD FILE prints a number from a file of flat JSON.
+number() {
+  grep -o "\"$1\": *-\?[0-9]*" "$2" | head -1 | grep -o '\-\?[0-9]*$'
+}
