Mark refused keys, count denied starts, test late starts and restarts

A cancel uses a connection of its own like the other calls, because a pooled one may have gone silent. The service stand-in counts runs by the body's order as well, so that a second run under another key shows.

--- a/modules/backend/backend_client.cpp
+++ b/modules/backend/backend_client.cpp
@@ -206,6 +206,8 @@
             result.resumes = policy.resumes();
             if (step.what == resume_step::kind::finish) {
                 result.end = step.end;
+                result.key_marked =
+                    result.end == backend_end::refused && result.error_type == "cancelled";
                 break;
             }
             if (step.what == resume_step::kind::cancel) {
@@ -228,7 +230,8 @@
                        json{{"key", key}}.dump()};
         call.connect_timeout = options_.connect_timeout;
         call.timeout = options_.control_timeout;
-        const auto body = fetch(call);
+        http_client own_connection;
+        const auto body = fetch(own_connection, call);
         if (!body) {
             return body.why();
         }
@@ -267,7 +270,7 @@
         http_call call{"GET", url_of(address, "/v1/load")};
         call.connect_timeout = options_.connect_timeout;
         call.timeout = options_.control_timeout;
-        const auto body = fetch(call);
+        const auto body = fetch(load_connections_, call);
         if (!body) {
             return body.why();
         }
@@ -365,9 +368,9 @@
         }
     }
 
-    result<json> fetch(const http_call& call)
+    static result<json> fetch(http_client& client, const http_call& call)
     {
-        const auto reply = control_.perform(call);
+        const auto reply = client.perform(call);
         if (!reply.ok()) {
             return failure{result_code::backend_lost,
                            call.url + " gave no answer or status " + std::to_string(reply.status)};
@@ -382,7 +385,7 @@
     backend_options options_;
     stream_counters counted_;
     steady_clock_ms clock_;
-    http_client control_;
+    http_client load_connections_;
 };
 
 backend_client::backend_client(const backend_options& options, counters& counted)
--- a/modules/backend/backend_client.h
+++ b/modules/backend/backend_client.h
@@ -34,8 +34,8 @@
 /// Runs requests at backend servers. All members block the calling thread and may be called from
 /// many threads at a time. Servers are named by `ip:port`.
 ///
-/// Starts, resumes and plain calls use a connection of their own: on a reused connection that
-/// closes without a response curl sends the request a second time.
+/// All but load reports use a connection of their own: an open one may have gone silent, and on a
+/// reused one that closes without a response curl sends the request a second time.
 class backend_client
 {
 public:
--- a/modules/standins/engine_standin.cpp
+++ b/modules/standins/engine_standin.cpp
@@ -212,6 +212,7 @@
         }
         const auto denial = book_.start(wanted, clock_.now());
         if (denial != engine_denial::none) {
+            ++starts_denied_;
             return denied(denial);
         }
         count_start();
@@ -233,6 +234,7 @@
         const auto key = text_at(body, "key");
         const auto denial = book_.find(key);
         if (denial != engine_denial::none) {
+            ++resumes_denied_;
             return denied(denial);
         }
         ++resumes_;
@@ -293,7 +295,9 @@
             200, {{"budgets", budgets},
                   {"runs", book_.runs()},
                   {"starts", starts_},
+                  {"starts_denied", starts_denied_},
                   {"resumes", resumes_},
+                  {"resumes_denied", resumes_denied_},
                   {"cancels", cancels_},
                   {"orders", orders_},
                   {"fenced", fenced_},
@@ -419,7 +423,9 @@
     time_ms leaving_since_{0};
     time_ms latest_start_after_leaving_{0};
     std::int64_t starts_{0};
+    std::int64_t starts_denied_{0};
     std::int64_t resumes_{0};
+    std::int64_t resumes_denied_{0};
     std::int64_t cancels_{0};
     std::int64_t orders_{0};
     std::int64_t fenced_{0};
--- a/modules/standins/service_standin.cpp
+++ b/modules/standins/service_standin.cpp
@@ -18,6 +18,16 @@
 {
 using nlohmann::json;
 
+// The field `order` of a call's body: names what must happen at most once, whatever its key is.
+std::string order_in(const std::string& body)
+{
+    const auto parsed = json::parse(body, nullptr, false);
+    if (!parsed.is_object() || !parsed.contains("order") || !parsed["order"].is_string()) {
+        return {};
+    }
+    return parsed["order"].get<std::string>();
+}
+
 constexpr std::string_view calls_path = "/v1/calls/";
 
 bool take_one(std::int64_t& count)
@@ -119,6 +129,10 @@
         if (!options_.deduplicate || count == 0) {
             ++count;
             ++calls_[kind];
+            const auto order = order_in(request.body);
+            if (!order.empty()) {
+                ++orders_[order];
+            }
         }
         const auto answer = json_response(
             200, {{"kind", kind}, {"answer", service_answer(kind, request.body)}, {"run", count}});
@@ -148,8 +162,11 @@
     http_response stats()
     {
         const std::lock_guard lock{mutex_};
-        return json_response(
-            200, {{"runs", runs_}, {"calls", calls_}, {"fenced", fenced_}, {"running", running_}});
+        return json_response(200, {{"runs", runs_},
+                                   {"orders", orders_},
+                                   {"calls", calls_},
+                                   {"fenced", fenced_},
+                                   {"running", running_}});
     }
 
     http_response change_faults(const std::string& body)
@@ -182,6 +199,7 @@
     std::int64_t running_{0};
     std::int64_t fenced_{0};
     std::map<std::string, std::int64_t> runs_;
+    std::map<std::string, std::int64_t> orders_;
     std::map<std::string, std::int64_t> calls_;
     http_server server_;
 };
--- a/modules/standins/service_standin.h
+++ b/modules/standins/service_standin.h
@@ -35,7 +35,8 @@
 /// - `POST /v1/calls/<kind>` with Idempotency-Key and X-Fencing-Token: runs the call each time it
 ///   arrives and answers `{kind, answer, run}`.
 /// - `GET /v1/load`: `{running, queued, slots, leaving, age_ms}`.
-/// - `POST /admin/faults` and `GET /admin/stats`: for tests.
+/// - `POST /admin/faults` and `GET /admin/stats`: for tests; the stats have the number of runs by
+///   idempotency key (`runs`), by the field `order` of the body (`orders`) and by kind (`calls`).
 class service_standin
 {
 public:
--- a/modules/standins/tests/backend_standins_tests.cpp
+++ b/modules/standins/tests/backend_standins_tests.cpp
@@ -1,8 +1,12 @@
 #include "backend/backend.h"
+#include "http/http.h"
 #include "standins/standins.h"
 
 // Before CppUTest, whose macros redefine `new`.
+#include <chrono>
+#include <memory>
 #include <nlohmann/json.hpp>
+#include <thread>
 
 #include <CppUTest/TestHarness.h>
 
@@ -39,7 +43,12 @@
 
 // An engine, a client and the text that the client delivered.
 struct engine_setup {
-    engine_standin engine{quick_engine()};
+    explicit engine_setup(const engine_standin_options& options = quick_engine())
+        : engine{options}
+    {
+    }
+
+    engine_standin engine;
     counters counted;
     backend_client client{quick_options(), counted};
     std::string text;
@@ -58,6 +67,19 @@
                           [this](const auto& event) { return take(event); });
     }
 
+    http_reply post(const std::string& path, const std::string& body) const
+    {
+        http_client http;
+        return http.perform({"POST", "http://" + engine.address() + path, {}, body});
+    }
+
+    nlohmann::json get_json(const std::string& path) const
+    {
+        http_client http;
+        return nlohmann::json::parse(
+            http.perform({"GET", "http://" + engine.address() + path}).body);
+    }
+
     stream_result run_with(const engine_faults& faults)
     {
         engine.set_faults(faults);
@@ -80,7 +102,14 @@
 
     call_result call(const std::string& key)
     {
-        return client.call(service.address(), {"orders", key, "1", "{}"});
+        return client.call(service.address(), {"orders", key, "1", R"({"order":"o"})"});
+    }
+
+    int orders_run(const std::string& order) const
+    {
+        http_client http;
+        const auto reply = http.perform({"GET", "http://" + service.address() + "/admin/stats"});
+        return nlohmann::json::parse(reply.body).at("orders").at(order).get<int>();
     }
 };
 } // namespace
@@ -168,6 +197,7 @@
     const auto result = setup.run("i.s.1");
     CHECK(result.end == backend_end::refused);
     CHECK_EQUAL(std::string{"cancelled"}, result.error_type);
+    CHECK(result.key_marked);
     CHECK(setup.client.cancel(setup.engine.address(), "i.s.1")->marked_before);
 }
 
@@ -225,6 +255,91 @@
     CHECK(!client.cancel(address, "i.s.1"));
 }
 
+// Guards against a start that runs although its client was told that it did not (G4).
+TEST(engine, a_start_that_arrives_after_its_client_gave_up_does_not_run)
+{
+    engine_setup setup;
+    engine_faults faults;
+    faults.delay = time_ms{2500};
+    // The engine's records must go back to before the start.
+    std::this_thread::sleep_for(std::chrono::milliseconds{100});
+    const auto result = setup.run_with(faults);
+    CHECK(result.end == backend_end::not_delivered);
+    CHECK(result.key_marked);
+    std::this_thread::sleep_for(std::chrono::milliseconds{2000});
+    const auto stats = setup.get_json("/admin/stats");
+    CHECK_EQUAL(1, stats.at("resumes_denied").get<int>());
+    CHECK_EQUAL(0, stats.at("starts").get<int>());
+    CHECK_EQUAL(1, stats.at("starts_denied").get<int>());
+    CHECK(stats.at("runs").empty());
+}
+
+// Guards against "not run" by an engine that restarted and has forgotten its runs (G4).
+TEST(engine, an_engine_that_started_after_the_request_proves_nothing)
+{
+    auto setup = std::make_unique<engine_setup>();
+    const auto address = setup->engine.address();
+    std::thread restart{[&] {
+        std::this_thread::sleep_for(std::chrono::milliseconds{300});
+        setup.reset();
+        auto options = quick_engine();
+        options.address = address;
+        setup = std::make_unique<engine_setup>(options);
+    }};
+    counters counted;
+    auto patient = quick_options();
+    patient.resume.resumes_without_progress = 1000;
+    backend_client client{patient, counted};
+    setup->engine.set_faults({1});
+    const auto result = client.run(address, chat("i.s.1"), [](const auto&) { return true; });
+    restart.join();
+    CHECK(result.end == backend_end::lost);
+}
+
+// Guards against a queued run that is given up as silent.
+TEST(engine, a_queued_run_is_not_silent)
+{
+    auto options = quick_engine();
+    options.speed.slots = 1;
+    options.speed.batching_delay = time_ms{1500};
+    engine_setup setup{options};
+    const auto result = setup.run("i.s.1");
+    setup.check_whole(result);
+    CHECK_EQUAL(0, result.resumes);
+}
+
+// Guards against new work for a leaving engine that nobody counts (G6).
+TEST(engine, counts_starts_after_leaving)
+{
+    engine_setup setup;
+    CHECK_EQUAL(200, setup.post("/admin/faults", R"({"leaving":true})").status);
+    setup.run("i.s.1");
+    CHECK_EQUAL(1, setup.get_json("/admin/stats").at("starts_after_leaving").get<int>());
+    std::this_thread::sleep_for(std::chrono::milliseconds{100});
+    CHECK(setup.client.load(setup.engine.address())->leaving);
+}
+
+// Guards against a misspelt fault that a scenario believes to be in force.
+TEST(engine, refuses_an_unknown_fault)
+{
+    engine_setup setup;
+    CHECK_EQUAL(400, setup.post("/admin/faults", R"({"slient_connections":1})").status);
+    CHECK_EQUAL(400, setup.post("/admin/faults", R"({"delay_ms":-1})").status);
+}
+
+// Guards against an outdated operator that still gives work to engines that check.
+TEST(engine, refuses_an_outdated_fencing_token)
+{
+    auto options = quick_engine();
+    options.check_fencing = true;
+    engine_setup setup{options};
+    CHECK_EQUAL(200, setup.post("/v1/orders", R"({"fencing_token":"2"})").status);
+    const auto result = setup.run("i.s.1");
+    CHECK(result.end == backend_end::refused);
+    CHECK_EQUAL(std::string{"fenced"}, result.error_type);
+    CHECK(!result.key_marked);
+}
+
 TEST(engine, reports_its_load_with_a_lag)
 {
     engine_setup setup;
@@ -284,7 +399,7 @@
     service_setup setup;
     const auto result = setup.call("k");
     CHECK(result.end == backend_end::ended);
-    CHECK_EQUAL(service_answer("orders", "{}"),
+    CHECK_EQUAL(service_answer("orders", R"({"order":"o"})"),
                 nlohmann::json::parse(result.body).at("answer").get<std::string>());
 }
 
@@ -292,10 +407,10 @@
 TEST(plain_service, an_answer_lost_after_the_run_is_lost_and_ran_once)
 {
     service_setup setup;
-    setup.call("first");
     setup.service.set_faults({1});
     CHECK(setup.call("k").end == backend_end::lost);
     CHECK_EQUAL(1, setup.service.runs("k"));
+    CHECK_EQUAL(1, setup.orders_run("o"));
     setup.service.set_faults({0, 1});
     CHECK(setup.call("l").end == backend_end::lost);
     CHECK_EQUAL(0, setup.service.runs("l"));
