--- a/modules/load/tests/load_tests.cpp
+++ b/modules/load/tests/load_tests.cpp
@@ -292,6 +292,13 @@
     CHECK(checker.wrong());
 }
 
+// Guards against a stream whose index does not say where its tokens belong.
+TEST(answers, a_wrong_index_is_wrong)
+{
+    checker.feed(sse(1, expected.token(0)));
+    CHECK(checker.wrong());
+}
+
 // Guards against a stream that the fleet breaks off openly being counted as a wrong answer.
 TEST(answers, an_error_event_breaks_off)
 {
--- a/modules/standins/tests/backend_standins_tests.cpp
+++ b/modules/standins/tests/backend_standins_tests.cpp
@@ -136,6 +136,7 @@
     setup.check_whole(result);
     CHECK_EQUAL(1, result.resumes);
     CHECK_EQUAL(1, setup.counted.at("backend_streams_silent").load());
+    CHECK_EQUAL(0, setup.counted.at("backend_events_repeated").load());
 }
 
 // Guards against a cut stream that is taken for a whole answer or starts over (G3).
