--- a/apps/load/main.cpp
+++ b/apps/load/main.cpp
@@ -64,6 +64,10 @@
 std::vector<load_account> read_accounts()
 {
     const std::ifstream file{FLAGS_accounts};
+    if (!file) {
+        std::cerr << "error: --accounts=" << FLAGS_accounts << ": expected a file to read\n";
+        std::exit(2);
+    }
     std::stringstream text;
     text << file.rdbuf();
     const auto accounts = parse_accounts(text.str());
--- a/modules/load/load_driver.cpp
+++ b/modules/load/load_driver.cpp
@@ -182,6 +182,7 @@
     attempt_result attempt(running_request& running, const attempt_step& step)
     {
         if (!prepare(running, step)) {
+            running.last_error_type = "no_instance";
             return {attempt_result::kind::not_delivered, {}};
         }
         auto ended = running.request.what == load_request::kind::call   ? call(running)
