--- a/modules/backend/backend_client.h
+++ b/modules/backend/backend_client.h
@@ -28,7 +28,8 @@
     resume_limits resume;
 };
 
-/// Receives the events of an answer in order, each exactly once; returns false to stop.
+/// Receives the events of an answer in order, each exactly once; returns false to stop. It is
+/// called from within curl and must not throw.
 using event_sink = std::function<bool(const engine_event&)>;
 
 /// Runs requests at backend servers. All members block the calling thread and may be called from
@@ -46,7 +47,8 @@
     backend_client& operator=(const backend_client&) = delete;
 
     /// Starts a chat at an engine and returns when it has ended, resuming it by key on a new
-    /// connection whenever its connection breaks, goes silent or skips an event.
+    /// connection whenever its connection breaks, goes silent or skips an event. To end it early
+    /// from another thread, cancel its key: the engine then cuts the stream.
     stream_result run(const std::string& address, const engine_request& request,
                       const event_sink& sink);
 
--- a/modules/backend/plain_call.h
+++ b/modules/backend/plain_call.h
@@ -7,7 +7,7 @@
 
 /// One call of a plain service.
 struct plain_call {
-    std::string kind; ///< last part of the path /v1/calls/<kind>
+    std::string kind; ///< last part of the path /v1/calls/<kind>, sent as it is
     std::string idempotency_key;
     std::string fencing_token;
     std::string body;
--- a/modules/standins/engine_standin.cpp
+++ b/modules/standins/engine_standin.cpp
@@ -68,7 +68,7 @@
     case engine_denial::none:
         break;
     }
-    return error_response(404, "unknown_key", true);
+    return error_response(404, "unknown_key", false);
 }
 
 // Takes one off a count of faults; returns whether there was one.
