--- a/modules/budget/tests/fleet.h
+++ b/modules/budget/tests/fleet.h
@@ -40,6 +40,8 @@
     token_count used{0};
     bool alive{true};
     bool cut_off{false};
+    bool closing{false};
+    bool drained{false};
 };
 
 /// A platform and some incarnations that share one budget.
@@ -127,6 +129,36 @@
         at.book.apply(batch, *planned, platform.commit(planned->change, fate), now);
     }
 
+    /// Refuses new work from now on; `close` then closes the grants.
+    static void begin_drain(node& at)
+    {
+        at.closing = true;
+        at.book.begin_close();
+        at.transfers->refuse_all();
+    }
+
+    /// Ends a drain whose grants are all closed.
+    void end_drain(node& at)
+    {
+        if (at.closing && at.running.empty() && at.book.all_closed()) {
+            at.drained = true;
+            at.alive = false;
+        }
+    }
+
+    /// Settles what a node has sent to drained receivers, from the receivers' closed rows.
+    void settle_drained(node& at)
+    {
+        for (const auto& [to, total] : at.book.sent(budget_name)) {
+            if (by_name(to).drained) {
+                const auto row = parse_grant_row(platform.value(grant_key(budget_name, to)));
+                const auto credited = row->received.find(at.book.incarnation());
+                at.transfers->settle_closed(to, budget_name,
+                                            credited == row->received.end() ? 0 : credited->second);
+            }
+        }
+    }
+
     void deliver(node& to, const transfer& message)
     {
         if (variant == wrong_variant::credit_twice) {
--- a/modules/budget/tests/random_fleet_tests.cpp
+++ b/modules/budget/tests/random_fleet_tests.cpp
@@ -35,6 +35,12 @@
         return {};
     }
 
+    [[nodiscard]] int drained() const
+    {
+        return static_cast<int>(std::count_if(fleet_.nodes.begin(), fleet_.nodes.end(),
+                                              [](const auto& item) { return item->drained; }));
+    }
+
     [[nodiscard]] token_count used() const
     {
         token_count sum = 0;
@@ -81,6 +87,9 @@
             fleet_.reserve(at, draw(1, 60));
         } else if (kind < 60) {
             end_request(at);
+        } else if (kind < 82 && at.closing && !at.unsent) {
+            fleet_.close(at, draw_fate());
+            fleet_.end_drain(at);
         } else if (kind < 82) {
             at.unsent ? fleet_.send(at, draw_fate())
                       : fleet_.refill(at, policy_, draw_fate(), draw(0, 5) == 0);
@@ -157,7 +166,10 @@
             }
             break;
         case 4:
-            if (fleet_.nodes.size() < 6) {
+            if (draw(0, 3) == 0 && !at.closing) {
+                fleet::begin_drain(at);
+                fleet_.add_node();
+            } else if (fleet_.nodes.size() < 6) {
                 at.alive = draw(0, 3) > 0;
                 fleet_.add_node();
             }
@@ -169,6 +181,9 @@
 
     void reclaim_or_hint(node& at)
     {
+        if (at.alive) {
+            fleet_.settle_drained(at);
+        }
         at.book.note_shortage_elsewhere(budget_name);
         if (fleet_.variant != wrong_variant::reclaim_by_time) {
             return;
@@ -217,12 +232,13 @@
     CHECK_EQUAL(std::string{}, first_broken(wrong_variant::none));
 }
 
-// Guards against a run in which nothing is ever spent, which would satisfy every rule.
-TEST(random_fleet, runs_spend_most_of_the_budget)
+// Guards against a run in which nothing is ever spent or drained, which would satisfy every rule.
+TEST(random_fleet, runs_spend_and_drain)
 {
     random_run run{first_seed(), wrong_variant::none};
     CHECK_EQUAL(std::string{}, run.run(steps * 4));
     CHECK(run.used() > 500);
+    CHECK(run.drained() > 0);
 }
 
 // The following three show that the rules above can fail.
