Keep a whole horizon of demand in stock and document budgets

The refill is due below half the target. With a target of one horizon (70 min), a grant could cover 35 min when a partition of one hour begins, so the target is two horizons. Refilling at a higher mark was ruled out: it writes more often for the same stock.

--- a/modules/budget/demand_driven.cpp
+++ b/modules/budget/demand_driven.cpp
@@ -15,7 +15,7 @@
 {
     const auto live = std::max<std::int64_t>(1, facts.live_instances);
     const auto stock =
-        static_cast<token_count>(facts.demand_per_ms * static_cast<double>(horizon_.count()));
+        static_cast<token_count>(facts.demand_per_ms * 2 * static_cast<double>(horizon_.count()));
     const auto wish = std::max(stock, facts.shortage);
     const auto bound =
         std::min(facts.limit / limit_divisor_, std::max<token_count>(0, free) / (2 * live));
--- a/modules/budget/demand_driven.h
+++ b/modules/budget/demand_driven.h
@@ -5,7 +5,9 @@
 namespace jujubevalve
 {
 
-/// Keeps a horizon of demand in stock, less when little of the budget is free.
+/// Keeps at least a horizon of demand in stock, less when little of the budget is free. The target
+/// is twice the horizon's demand and a refill is due below half of it: with a target of one
+/// horizon, a grant could cover only half a horizon when a partition begins.
 class demand_driven
 {
 public:
--- a/modules/budget/tests/grant_book_tests.cpp
+++ b/modules/budget/tests/grant_book_tests.cpp
@@ -268,7 +268,7 @@
     facts.live_instances = 9;
     facts.demand_per_ms = 0.0001;
     facts.request = 10;
-    CHECK_EQUAL(420, policy.target(facts, facts.free)); // 70 min of demand
+    CHECK_EQUAL(840, policy.target(facts, facts.free)); // 2 x 70 min of demand
     facts.demand_per_ms = 1;
     CHECK_EQUAL(1000, policy.target(facts, facts.free)); // 0.1 % of the limit
     facts.free = 9000;
