--- a/modules/membership/member_table.cpp
+++ b/modules/membership/member_table.cpp
@@ -30,9 +30,9 @@
     , seeds_{std::move(seeds)}
     , settings_{settings}
     , random_{random_seed}
+    , own_detail_sends_left_{rumour_sends()}
     , hints_{settings}
 {
-    own_detail_sends_left_ = rumour_sends();
 }
 
 void member_table::set_draining()
--- a/modules/peer/message_codec.h
+++ b/modules/peer/message_codec.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "peer/gen/peer_types.h"
+#include <peer_types.h>
 
 #include <cstdint>
 #include <memory>
 #include <string>
-#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/protocol/TProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
 namespace jujubevalve
@@ -48,13 +48,19 @@
 
 using message_type = apache::thrift::protocol::TMessageType;
 
-/// Writes a struct without an envelope, in the compact protocol.
+using thrift_memory = apache::thrift::transport::TMemoryBuffer;
+using thrift_protocol = apache::thrift::protocol::TProtocol;
+
+/// The compact protocol over a memory buffer, or over a copy of a payload.
+std::shared_ptr<thrift_protocol> make_protocol(const std::shared_ptr<thrift_memory>& memory);
+std::shared_ptr<thrift_protocol> make_protocol(const std::string& payload);
+
+/// Writes a struct without an envelope.
 template <class Body>
 std::string encode(const Body& body)
 {
-    const auto memory = std::make_shared<apache::thrift::transport::TMemoryBuffer>();
-    apache::thrift::protocol::TCompactProtocol protocol{memory};
-    body.write(&protocol);
+    const auto memory = std::make_shared<thrift_memory>();
+    body.write(make_protocol(memory).get());
     return memory->getBufferAsString();
 }
 
@@ -62,11 +68,11 @@
 template <class Body>
 std::string encode(const char* name, message_type type, std::int32_t call_id, const Body& body)
 {
-    const auto memory = std::make_shared<apache::thrift::transport::TMemoryBuffer>();
-    apache::thrift::protocol::TCompactProtocol protocol{memory};
-    protocol.writeMessageBegin(name, type, call_id);
-    body.write(&protocol);
-    protocol.writeMessageEnd();
+    const auto memory = std::make_shared<thrift_memory>();
+    const auto protocol = make_protocol(memory);
+    protocol->writeMessageBegin(name, type, call_id);
+    body.write(protocol.get());
+    protocol->writeMessageEnd();
     return memory->getBufferAsString();
 }
 
@@ -74,12 +80,8 @@
 template <class Body>
 Body decode(const std::string& payload)
 {
-    const auto memory = std::make_shared<apache::thrift::transport::TMemoryBuffer>();
-    memory->write(reinterpret_cast<const std::uint8_t*>(payload.data()),
-                  static_cast<std::uint32_t>(payload.size()));
-    apache::thrift::protocol::TCompactProtocol protocol{memory};
     Body body;
-    body.read(&protocol);
+    body.read(make_protocol(payload).get());
     return body;
 }
 
@@ -88,14 +90,7 @@
 {
 public:
     /// Reads the envelope. Throws apache::thrift::TException if it is malformed.
-    explicit message_reader(const std::string& payload)
-        : memory_{std::make_shared<apache::thrift::transport::TMemoryBuffer>()}
-        , protocol_{memory_}
-    {
-        memory_->write(reinterpret_cast<const std::uint8_t*>(payload.data()),
-                       static_cast<std::uint32_t>(payload.size()));
-        protocol_.readMessageBegin(name_, type_, call_id_);
-    }
+    explicit message_reader(const std::string& payload);
 
     [[nodiscard]] const std::string& name() const { return name_; }
     [[nodiscard]] message_type type() const { return type_; }
@@ -106,13 +101,12 @@
     Body body()
     {
         Body body;
-        body.read(&protocol_);
+        body.read(protocol_.get());
         return body;
     }
 
 private:
-    std::shared_ptr<apache::thrift::transport::TMemoryBuffer> memory_;
-    apache::thrift::protocol::TCompactProtocol protocol_;
+    std::shared_ptr<thrift_protocol> protocol_;
     std::string name_;
     message_type type_{apache::thrift::protocol::T_CALL};
     std::int32_t call_id_{0};
--- a/modules/peer/peer_client.h
+++ b/modules/peer/peer_client.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "core/time_ms.h"
-#include "peer/gen/peer_types.h"
 #include "peer/peer_options.h"
 #include "peer/peer_result.h"
+#include <peer_types.h>
 
 #include <memory>
 #include <string>
--- a/modules/peer/peer_handler.h
+++ b/modules/peer/peer_handler.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "peer/gen/peer_types.h"
+#include <peer_types.h>
 
 #include <functional>
 #include <string>
--- a/modules/peer/peer_messages.h
+++ b/modules/peer/peer_messages.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "membership/gossip_digest.h"
-#include "peer/gen/peer_types.h"
+#include <peer_types.h>
 
 namespace jujubevalve
 {
--- a/modules/peer/peer_server.cpp
+++ b/modules/peer/peer_server.cpp
@@ -33,6 +33,7 @@
         , counts_{counts}
         , traffic_{counts}
         , acceptor_{listen(options_.address)}
+        , address_{address_of(*acceptor_)}
         , loop_{[this] { close_idle(); }}
         , control_{control_workers, options_.max_queued_calls}
         , forwarded_{options_.workers, options_.max_queued_calls}
@@ -58,12 +59,7 @@
     impl(const impl&) = delete;
     impl& operator=(const impl&) = delete;
 
-    [[nodiscard]] std::string address() const
-    {
-        ACE_INET_Addr bound;
-        acceptor_->get_local_addr(bound);
-        return fmt::format("{}:{}", bound.get_host_addr(), bound.get_port_number());
-    }
+    [[nodiscard]] const std::string& address() const { return address_; }
 
 private:
     struct acceptor_closer {
@@ -91,6 +87,15 @@
         return acceptor;
     }
 
+    static std::string address_of(const ACE_SOCK_Acceptor& acceptor)
+    {
+        ACE_INET_Addr bound;
+        acceptor.get_local_addr(bound);
+        std::array<char, 64> host{};
+        bound.get_host_addr(host.data(), static_cast<int>(host.size()));
+        return fmt::format("{}:{}", host.data(), bound.get_port_number());
+    }
+
     ACE_HANDLE get_handle() const override { return acceptor_->get_handle(); }
 
     int handle_input(ACE_HANDLE /*handle*/) override
@@ -110,8 +115,8 @@
             counts_,
             traffic_,
             loop_,
-            [this](const auto& connection, std::string payload) {
-                return dispatch(connection, std::move(payload));
+            [this](const auto& connection, const std::string& payload) {
+                return dispatch(connection, payload);
             },
             [this](ACE_HANDLE handle) { connections_.erase(handle); }};
         const auto connection = std::make_shared<server_connection>(server, stream);
@@ -130,7 +135,7 @@
         }
     }
 
-    bool dispatch(const std::shared_ptr<server_connection>& connection, std::string payload)
+    bool dispatch(const std::shared_ptr<server_connection>& connection, const std::string& payload)
     {
         const auto reader = std::make_shared<message_reader>(payload);
         traffic_.received(reader->name(), payload.size() + frame_codec::overhead_bytes);
@@ -184,6 +189,7 @@
     counters& counts_;
     traffic_counts traffic_;
     acceptor_pointer acceptor_; // declared before all that uses it: released last
+    std::string address_;
     std::map<ACE_HANDLE, std::shared_ptr<server_connection>> connections_;
     reactor_loop loop_;
     worker_pool control_; // declared after the loop, to which running jobs hand their answers
--- a/modules/peer/server_connection.h
+++ b/modules/peer/server_connection.h
@@ -27,7 +27,7 @@
         traffic_counts& traffic;
         reactor_loop& loop;
         /// Starts the call of a message; false if there is no room for it.
-        std::function<bool(const std::shared_ptr<server_connection>&, std::string)> dispatch;
+        std::function<bool(const std::shared_ptr<server_connection>&, const std::string&)> dispatch;
         /// Called once when the connection has been closed.
         std::function<void(ACE_HANDLE)> on_closed;
     };
