--- /dev/null
+++ b/apps/gossip_measure/main.cpp
@@ -0,0 +1,182 @@
+#include "core/core.h"
+#include "membership/tests/fake_network.h"
+#include "peer/frame_codec.h"
+#include "peer/message_codec.h"
+#include "peer/peer_messages.h"
+
+#include <algorithm>
+#include <ctime>
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+DEFINE_string(sizes, "3,9,27,81,243,450", "fleet sizes to measure");
+DEFINE_int32(runs, 3, "runs for each size, each with its own seed");
+DEFINE_int32(steady_s, 120, "simulated seconds over which traffic and suspicions are counted");
+DEFINE_double(lost, 0.01, "part of the messages that are lost");
+DEFINE_double(late, 0.01, "part of the messages that arrive 2.5 s late");
+DEFINE_bool(json, false, "print JSON instead of a table");
+
+namespace
+{
+using namespace jujubevalve;
+
+// Worst values over the runs of one size.
+struct measurement {
+    std::int64_t join_ms{0};          ///< from a start of all instances until each knows all
+    std::int64_t version_ms{0};       ///< until a new configuration version is in force everywhere
+    std::int64_t drain_ms{0};         ///< until a drain is known everywhere
+    std::int64_t death_ms{0};         ///< until a killed instance has left every address list
+    std::int64_t oldest_ms{0};        ///< longest time that a living entry was without progress
+    std::int64_t suspect_ms{0};       ///< the suspicion timeout at this size
+    std::int64_t false_suspicions{0}; ///< pairs, sampled each second
+    double sent{0};                   ///< bytes/s of the node that sends most
+    double both{0};                   ///< bytes/s sent and received, mean over the nodes
+    double messages{0};               ///< sent per second, mean over the nodes
+    double cpu_ms{0};                 ///< CPU time per node and second, with encoding
+};
+
+std::size_t wire_bytes(const gossip_digest& digest)
+{
+    const auto payload = encode(message_traits<wire::gossip>::name,
+                                apache::thrift::protocol::T_CALL, 1000, to_message(digest));
+    return payload.size() + frame_codec::overhead_bytes;
+}
+
+double cpu_ms()
+{
+    timespec used{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+    return static_cast<double>(used.tv_sec) * 1e3 + static_cast<double>(used.tv_nsec) / 1e6;
+}
+
+// A time of -1 (not within the limit) is worse than any other.
+void worst(std::int64_t& kept, std::int64_t value)
+{
+    kept = kept < 0 || value < 0 ? -1 : std::max(kept, value);
+}
+
+void measure_steady(fake_network& network, measurement& kept)
+{
+    network.reset_traffic();
+    double used = 0;
+    for (int second = 0; second < FLAGS_steady_s; ++second) {
+        const auto begin = cpu_ms();
+        network.run_for(seconds(1));
+        used += cpu_ms() - begin;
+        kept.false_suspicions += network.false_suspicions();
+        worst(kept.oldest_ms, network.oldest_progress().count());
+    }
+    const double time = FLAGS_steady_s;
+    double both = 0;
+    double messages = 0;
+    for (const auto& node : network.nodes()) {
+        kept.sent = std::max(kept.sent, static_cast<double>(node.bytes_sent) / time);
+        both += static_cast<double>(node.bytes_sent + node.bytes_received) / time;
+        messages += static_cast<double>(node.messages_sent) / time;
+    }
+    const auto size = static_cast<double>(network.nodes().size());
+    kept.both = std::max(kept.both, both / size);
+    kept.messages = std::max(kept.messages, messages / size);
+    kept.cpu_ms = std::max(kept.cpu_ms, used / size / time);
+}
+
+void measure_changes(fake_network& network, measurement& kept)
+{
+    const auto limit = minutes(5);
+    network.table(0).set_config(1, 7);
+    const auto in_force = [](member_table& table) { return table.own().config_version == 7; };
+    worst(kept.version_ms, network.run_until([&] { return network.all(in_force); }, limit));
+
+    const auto drained = network.nodes().size() - 1;
+    const auto name = network.table(drained).own().incarnation;
+    network.table(drained).set_draining();
+    const auto knows = [&](member_table& table) {
+        const auto view = table.find(name, network.now());
+        return table.own().incarnation == name ||
+               (view && view->entry.state == member_state::draining);
+    };
+    worst(kept.drain_ms, network.run_until([&] { return network.all(knows); }, limit));
+
+    const auto killed = network.table(1).own().incarnation;
+    network.kill(1);
+    const auto gone = [&](member_table& table) {
+        const auto view = table.find(killed, network.now());
+        return !view || view->suspected;
+    };
+    worst(kept.death_ms, network.run_until([&] { return network.all(gone); }, limit));
+}
+
+measurement measure(std::size_t size)
+{
+    measurement kept;
+    for (int run = 1; run <= FLAGS_runs; ++run) {
+        fake_network_options options;
+        options.size = size;
+        options.lost = FLAGS_lost;
+        options.late = FLAGS_late;
+        options.seed = static_cast<std::uint32_t>(run);
+        options.size_of = wire_bytes;
+        fake_network network{options};
+        const auto live = static_cast<int>(size);
+        worst(kept.join_ms, network.run_until([&] { return network.all_know(live); }, minutes(10)));
+        network.run_for(seconds(60));
+        kept.suspect_ms = network.table(0).suspicion_timeout().count();
+        measure_steady(network, kept);
+        measure_changes(network, kept);
+    }
+    return kept;
+}
+
+nlohmann::json to_json(std::size_t size, const measurement& m)
+{
+    return {{"instances", size},
+            {"join_ms", m.join_ms},
+            {"version_ms", m.version_ms},
+            {"drain_ms", m.drain_ms},
+            {"death_ms", m.death_ms},
+            {"suspect_after_ms", m.suspect_ms},
+            {"oldest_progress_ms", m.oldest_ms},
+            {"false_suspicions", m.false_suspicions},
+            {"max_bytes_sent_per_s", m.sent},
+            {"mean_bytes_sent_and_received_per_s", m.both},
+            {"messages_sent_per_s", m.messages},
+            {"cpu_ms_per_s", m.cpu_ms}};
+}
+} // namespace
+
+int main(int argc, char** argv)
+{
+    read_settings("jujubevalve-gossip-measure [--sizes 3,9,27] [--json]: gossip between member "
+                  "tables over a network in memory; prints the worst value of all runs",
+                  argc, argv);
+    settings_check check;
+    check.range("runs", FLAGS_runs, 1, 100);
+    check.range("steady_s", FLAGS_steady_s, 1, 3600);
+    check.exit_on_error();
+    auto rows = nlohmann::json::array();
+    if (!FLAGS_json) {
+        fmt::print("{:>9} {:>7} {:>9} {:>8} {:>8} {:>10} {:>9} {:>6} {:>7} {:>8} {:>6} {:>8}\n",
+                   "instances", "join s", "version s", "drain s", "death s", "suspect s",
+                   "oldest s", "false", "sent/s", "s+r/s", "msg/s", "cpu ms/s");
+    }
+    for (const auto& text : split_list(FLAGS_sizes)) {
+        const auto size = std::stoul(text);
+        const auto m = measure(size);
+        if (FLAGS_json) {
+            rows.push_back(to_json(size, m));
+            continue;
+        }
+        const auto s = [](std::int64_t ms) { return static_cast<double>(ms) / 1000; };
+        fmt::print("{:>9} {:>7.1f} {:>9.1f} {:>8.1f} {:>8.1f} {:>10.1f} {:>9.1f} {:>6} {:>7.0f} "
+                   "{:>8.0f} {:>6.2f} {:>8.3f}\n",
+                   size, s(m.join_ms), s(m.version_ms), s(m.drain_ms), s(m.death_ms),
+                   s(m.suspect_ms), s(m.oldest_ms), m.false_suspicions, m.sent, m.both, m.messages,
+                   m.cpu_ms);
+    }
+    if (FLAGS_json) {
+        std::cout << rows.dump(2) << "\n";
+    }
+    return 0;
+}
--- /dev/null
+++ b/modules/membership/tests/fake_network.h
@@ -0,0 +1,275 @@
+#pragma once
+
+#include "membership/membership.h"
+
+#include <fmt/format.h>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace jujubevalve
+{
+
+/// What the fake network does to messages.
+struct fake_network_options {
+    std::size_t size{3};
+    membership_settings settings{};
+    double lost{0};         ///< part of the messages that never arrive
+    double doubled{0};      ///< part that arrives twice
+    double late{0};         ///< part that arrives `late_by` later
+    time_ms latency{50};    ///< longest one-way time of the others
+    time_ms late_by{2'500}; ///< late messages
+    std::uint32_t seed{1};
+    std::function<std::size_t(const gossip_digest&)> size_of; ///< bytes on the wire
+};
+
+/// Member tables that exchange digests over a network in memory, under a clock that tests move.
+/// Configuration is fetched from the peer that `newer_config` names, one round trip later.
+class fake_network
+{
+public:
+    struct node {
+        std::unique_ptr<member_table> table;
+        bool alive{true};
+        int group{0}; ///< nodes reach those of the same group
+        int incarnations{0};
+        std::int64_t bytes_sent{0};
+        std::int64_t bytes_received{0};
+        std::int64_t messages_sent{0};
+    };
+
+    explicit fake_network(fake_network_options options)
+        : options_{std::move(options)}
+        , random_{options_.seed}
+    {
+        nodes_.resize(options_.size);
+        for (std::size_t i = 0; i < nodes_.size(); ++i) {
+            start(i);
+        }
+    }
+
+    [[nodiscard]] time_ms now() const { return now_; }
+    std::vector<node>& nodes() { return nodes_; }
+    member_table& table(std::size_t i) { return *nodes_[i].table; }
+
+    /// Starts a node, or a new incarnation of it.
+    void start(std::size_t i)
+    {
+        auto& made = nodes_[i];
+        ++made.incarnations;
+        made.alive = true;
+        made.table = std::make_unique<member_table>(entry_of(i), seeds(), options_.settings,
+                                                    static_cast<std::uint32_t>(random_()));
+        const auto phase = static_cast<std::int64_t>(random_() % 1000);
+        const auto run = made.incarnations;
+        at(now_ + time_ms{phase}, [this, i, run] { round(i, run); });
+    }
+
+    void kill(std::size_t i) { nodes_[i].alive = false; }
+
+    /// Puts the nodes from `first` on into a group of their own.
+    void split_from(std::size_t first)
+    {
+        for (std::size_t i = 0; i < nodes_.size(); ++i) {
+            nodes_[i].group = i < first ? 0 : 1;
+        }
+    }
+    void heal() { split_from(nodes_.size()); }
+
+    void run_for(time_ms time)
+    {
+        const auto end = now_ + time;
+        while (!events_.empty() && events_.begin()->first <= end) {
+            auto next = events_.extract(events_.begin());
+            now_ = next.key();
+            next.mapped()();
+        }
+        now_ = end;
+    }
+
+    /// Runs until the condition holds, at most `limit`; returns the time it took, or -1.
+    std::int64_t run_until(const std::function<bool()>& condition, time_ms limit)
+    {
+        const auto begin = now_;
+        while (!condition()) {
+            if (now_ - begin >= limit) {
+                return -1;
+            }
+            run_for(time_ms{100});
+        }
+        return (now_ - begin).count();
+    }
+
+    /// Whether a predicate holds for the tables of all living nodes.
+    bool all(const std::function<bool(member_table&)>& predicate)
+    {
+        for (auto& item : nodes_) {
+            if (item.alive && !predicate(*item.table)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    bool all_know(int live)
+    {
+        return all([&](member_table& table) { return table.live_instances(now_) == live; });
+    }
+
+    /// Pairs (holder, subject) in which a living, reachable subject is suspected now.
+    std::int64_t false_suspicions()
+    {
+        std::map<std::string, const node*, std::less<>> by_incarnation;
+        for (const auto& item : nodes_) {
+            by_incarnation.emplace(item.table->own().incarnation, &item);
+        }
+        std::int64_t count = 0;
+        for (const auto& holder : nodes_) {
+            if (!holder.alive) {
+                continue;
+            }
+            for (const auto& view : holder.table->members(now_)) {
+                const auto subject = by_incarnation.find(view.entry.incarnation);
+                if (view.suspected && subject != by_incarnation.end() && subject->second->alive &&
+                    subject->second->group == holder.group) {
+                    ++count;
+                }
+            }
+        }
+        return count;
+    }
+
+    /// Longest time since a living, reachable entry made progress at some living node.
+    time_ms oldest_progress()
+    {
+        time_ms oldest{};
+        for (const auto& holder : nodes_) {
+            for (const auto& view : holder.table->members(now_)) {
+                oldest = std::max(oldest, now_ - view.last_progress);
+            }
+        }
+        return oldest;
+    }
+
+    void reset_traffic()
+    {
+        for (auto& item : nodes_) {
+            item.bytes_sent = item.bytes_received = item.messages_sent = 0;
+        }
+    }
+
+    static std::string address(std::size_t i, int port)
+    {
+        return fmt::format("10.0.{}.{}:{}", i / 250, i % 250 + 1, port);
+    }
+
+private:
+    static constexpr std::size_t domains = 16;
+    static constexpr std::size_t regions = 6;
+
+    member_entry entry_of(std::size_t i) const
+    {
+        member_entry entry;
+        entry.instance = fmt::format("router-{}", i);
+        entry.incarnation =
+            fmt::format("router-{}-{:016x}", i,
+                        std::hash<std::size_t>{}(i * 1000 + 7) * 0x9E3779B97F4A7C15 +
+                            static_cast<std::size_t>(nodes_[i].incarnations));
+        entry.http_address = address(i, 8080);
+        entry.peer_address = address(i, 9090);
+        entry.failure_domain = fmt::format("domain-{}", i % domains);
+        entry.region = fmt::format("region-{}", i % domains % regions);
+        entry.started_ms = 1'700'000'000'000 + now_.count();
+        return entry;
+    }
+
+    [[nodiscard]] std::vector<std::string> seeds() const
+    {
+        return {address(0, 9090), address(1, 9090), address(2, 9090)};
+    }
+
+    void at(time_ms when, std::function<void()> action)
+    {
+        events_.emplace(when, std::move(action));
+    }
+
+    bool chance(double part) { return std::uniform_real_distribution<>{0, 1}(random_) < part; }
+
+    // Delivers a message from one node to another, or not; the receiver may be down by then.
+    void deliver(std::size_t from, std::size_t to, const gossip_digest& digest,
+                 const std::function<void()>& receive)
+    {
+        const auto bytes =
+            options_.size_of ? static_cast<std::int64_t>(options_.size_of(digest)) : 0;
+        nodes_[from].bytes_sent += bytes;
+        ++nodes_[from].messages_sent;
+        if (chance(options_.lost)) {
+            return;
+        }
+        const int copies = chance(options_.doubled) ? 2 : 1;
+        for (int copy = 0; copy < copies; ++copy) {
+            auto delay = 1 + static_cast<std::int64_t>(random_()) % options_.latency.count();
+            delay += chance(options_.late) ? options_.late_by.count() : 0;
+            at(now_ + time_ms{delay}, [this, from, to, bytes, receive] {
+                if (nodes_[to].alive && nodes_[to].group == nodes_[from].group) {
+                    nodes_[to].bytes_received += bytes;
+                    receive();
+                }
+            });
+        }
+    }
+
+    void round(std::size_t i, int run)
+    {
+        if (!nodes_[i].alive || nodes_[i].incarnations != run) {
+            return;
+        }
+        for (const auto& target : table(i).begin_round(now_)) {
+            const auto to = index_of(target);
+            const auto request = table(i).make_digest(now_);
+            deliver(i, to, request, [this, i, to, request] {
+                const auto reply = table(to).answer(request, now_);
+                follow_config(to);
+                deliver(to, i, reply, [this, i, reply] {
+                    table(i).merge(reply, now_);
+                    follow_config(i);
+                });
+            });
+        }
+        at(now_ + table(i).interval(), [this, i, run] { round(i, run); });
+    }
+
+    void follow_config(std::size_t i)
+    {
+        const auto source = table(i).newer_config(now_);
+        if (!source) {
+            return;
+        }
+        const auto from = index_of(source->peer_address);
+        at(now_ + options_.latency * 2, [this, i, from] {
+            const auto& held = table(from).own();
+            if (nodes_[i].alive && nodes_[from].alive && nodes_[i].group == nodes_[from].group &&
+                held.config_version > table(i).own().config_version) {
+                table(i).set_config(held.config_term, held.config_version);
+            }
+        });
+    }
+
+    static std::size_t index_of(const std::string& address)
+    {
+        const auto second = address.find('.', 5);
+        const auto third = std::stoul(address.substr(5, second - 5));
+        return third * 250 + std::stoul(address.substr(second + 1)) - 1;
+    }
+
+    fake_network_options options_;
+    std::mt19937 random_;
+    std::vector<node> nodes_;
+    std::multimap<time_ms, std::function<void()>> events_;
+    time_ms now_{100'000};
+};
+
+} // namespace jujubevalve
