--- a/modules/membership/gossip_digest.h
+++ b/modules/membership/gossip_digest.h
@@ -32,7 +32,9 @@
     heartbeat_item own;
     std::int64_t config_term{0};
     std::int64_t config_version{0};
+    std::int64_t known{0};                  ///< instances that the sender does not suspect
     std::vector<heartbeat_item> heartbeats; ///< of other incarnations
+    std::vector<heartbeat_item> doubts;     ///< unreachable, and their last known heartbeat
     std::vector<member_entry> details;      ///< new entries and those that were asked for
     std::vector<member_id> wanted;          ///< ids whose details the sender lacks
     std::vector<std::string> sought;        ///< budgets of which the sender has run short
--- a/modules/membership/member_table.cpp
+++ b/modules/membership/member_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace jujubevalve
 {
@@ -13,9 +14,6 @@
 constexpr std::size_t max_superseded = 2000;
 constexpr unsigned heal_one_in = 8; // rounds that also ask a suspected peer or a seed
 
-// A digest that is sent to somebody who knows less than this many entries brings details unasked.
-constexpr std::size_t newcomer_entries = 4;
-
 template <class Container>
 const auto& any_of(const Container& values, std::mt19937& random)
 {
@@ -59,11 +57,6 @@
     return 4 + static_cast<int>(2 * std::log2(static_cast<double>(members_.size() + 1)));
 }
 
-time_ms member_table::interval() const
-{
-    return settings_.interval;
-}
-
 time_ms member_table::suspicion_timeout() const
 {
     const auto size = static_cast<double>(members_.size() + 1);
@@ -74,9 +67,70 @@
     return std::max(settings_.suspect_after, time_ms{static_cast<std::int64_t>(grown)});
 }
 
+time_ms member_table::refutation_timeout() const
+{
+    // A doubt has to reach its subject and the answer has to come back; each way takes less than
+    // half of log2(n) rounds (docs/membership.md).
+    const auto rounds = std::log2(static_cast<double>(members_.size() + 1));
+    const auto spread = static_cast<double>(interval().count()) * rounds;
+    return settings_.suspect_after + time_ms{static_cast<std::int64_t>(spread)};
+}
+
 bool member_table::is_suspected(const known_member& member, time_ms now) const
 {
-    return member.last_progress + suspicion_timeout() < now;
+    return member.last_progress + suspicion_timeout() < now ||
+           (member.doubted && member.doubted_at + refutation_timeout() < now);
+}
+
+void member_table::note_exchange(std::string_view peer_address, bool succeeded, time_ms now)
+{
+    for (auto& [id, member] : members_) {
+        if (member.entry.peer_address == peer_address) {
+            member.failed_exchanges = succeeded ? 0 : member.failed_exchanges + 1;
+            if (member.failed_exchanges >= 2 && !member.doubted) {
+                doubt(member, now);
+            }
+        }
+    }
+}
+
+void member_table::doubt(known_member& member, time_ms now)
+{
+    member.doubted = true;
+    member.doubted_at = now;
+    member.doubt_sends_left = rumour_sends();
+}
+
+void member_table::merge_doubt(const heartbeat_item& doubt, time_ms now)
+{
+    if (doubt.id == own_id_) {
+        own_.heartbeat = std::max(own_.heartbeat, doubt.heartbeat + 1);
+        return;
+    }
+    const auto found = members_.find(doubt.id);
+    if (found == members_.end()) {
+        return;
+    }
+    auto& member = found->second;
+    if (member.entry.heartbeat > doubt.heartbeat) {
+        // The sender's heartbeat is outdated. If this one's is as old as the instance's death, the
+        // next failed exchange doubts it again, with a heartbeat that nobody can exceed.
+        member.sends_left = std::max(member.sends_left, 2);
+    } else if (!member.doubted) {
+        this->doubt(member, now);
+    }
+}
+
+std::vector<std::string> member_table::failed_once(time_ms now) const
+{
+    std::vector<std::string> addresses;
+    for (const auto& [id, member] : members_) {
+        if (member.failed_exchanges == 1 && !is_suspected(member, now)) {
+            addresses.push_back(member.entry.peer_address);
+        }
+    }
+    addresses.resize(std::min(addresses.size(), settings_.fan_out));
+    return addresses;
 }
 
 std::vector<std::string> member_table::begin_round(time_ms now)
@@ -95,6 +149,8 @@
         }
     }
     std::shuffle(live.begin(), live.end(), random_);
+    const auto again = failed_once(now);
+    live.insert(live.begin(), again.begin(), again.end());
     live.resize(std::min(live.size(), settings_.fan_out));
     if (!others.empty() && (live.empty() || random_() % heal_one_in == 0)) {
         live.push_back(any_of(others, random_));
@@ -109,7 +165,9 @@
     digest.own = {own_id_, own_.heartbeat, own_.state};
     digest.config_term = own_.config_term;
     digest.config_version = own_.config_version;
+    digest.known = live_instances(now);
     add_heartbeats(digest, now);
+    add_doubts(digest);
     add_details(digest);
     add_wanted(digest);
     // Where every digest holds every entry there is room for hints that nobody has asked for.
@@ -143,6 +201,17 @@
     }
 }
 
+void member_table::add_doubts(gossip_digest& digest)
+{
+    for (auto& [id, member] : members_) {
+        if (member.doubted && member.doubt_sends_left > 0 &&
+            digest.doubts.size() < settings_.max_doubts) {
+            --member.doubt_sends_left;
+            digest.doubts.push_back({id, member.entry.heartbeat, member.entry.state});
+        }
+    }
+}
+
 void member_table::add_details(gossip_digest& digest)
 {
     if (own_detail_sends_left_ > 0) {
@@ -173,37 +242,54 @@
     merge(request, now);
     auto digest = make_digest(now);
     add_wanted_details(digest, request);
+    // Somebody who knows clearly fewer instances has just started or was cut off.
+    if (request.known * 10 < digest.known * 9) {
+        add_missing_details(digest, request, now);
+    }
     return digest;
 }
 
-void member_table::add_wanted_details(gossip_digest& digest, const gossip_digest& request) const
+void member_table::add_detail(gossip_digest& digest, const member_entry& entry) const
 {
-    const auto add = [&](const member_entry& entry) {
-        const auto& held = digest.details;
-        const bool already = std::any_of(held.begin(), held.end(), [&](const auto& detail) {
-            return detail.incarnation == entry.incarnation;
-        });
-        if (!already && held.size() < settings_.max_details) {
-            digest.details.push_back(entry);
-        }
-    };
-    const bool newcomer = request.heartbeats.size() < std::min(newcomer_entries, members_.size());
-    if (newcomer) {
-        add(own_);
+    auto& held = digest.details;
+    const bool already = std::any_of(held.begin(), held.end(), [&](const auto& detail) {
+        return detail.incarnation == entry.incarnation;
+    });
+    if (!already && held.size() < settings_.max_details) {
+        held.push_back(entry);
     }
+}
+
+void member_table::add_wanted_details(gossip_digest& digest, const gossip_digest& request) const
+{
     for (const auto id : request.wanted) {
         const auto found = members_.find(id);
         if (found != members_.end()) {
-            add(found->second.entry);
+            add_detail(digest, found->second.entry);
         } else if (id == own_id_) {
-            add(own_);
+            add_detail(digest, own_);
         }
     }
-    if (newcomer) {
-        for (const auto& item : digest.heartbeats) {
-            add(members_.at(item.id).entry);
+}
+
+void member_table::add_missing_details(gossip_digest& digest, const gossip_digest& request,
+                                       time_ms now)
+{
+    add_detail(digest, own_);
+    std::set<member_id> held;
+    for (const auto& item : request.heartbeats) {
+        held.insert(item.id);
+    }
+    std::vector<const member_entry*> missing;
+    for (const auto& [id, member] : members_) {
+        if (!held.contains(id) && id != request.own.id && !is_suspected(member, now)) {
+            missing.push_back(&member.entry);
         }
     }
+    std::shuffle(missing.begin(), missing.end(), random_);
+    for (const auto* entry : missing) {
+        add_detail(digest, *entry);
+    }
 }
 
 void member_table::merge(const gossip_digest& digest, time_ms now)
@@ -215,6 +301,9 @@
     for (const auto& item : digest.heartbeats) {
         merge_heartbeat(item, now);
     }
+    for (const auto& item : digest.doubts) {
+        merge_doubt(item, now);
+    }
     const auto sender = members_.find(digest.own.id);
     if (sender != members_.end()) {
         auto& entry = sender->second.entry;
@@ -240,9 +329,10 @@
     if (item.heartbeat <= member.entry.heartbeat) {
         return;
     }
-    if (item.state != member.entry.state) {
+    if (item.state != member.entry.state || member.doubted) {
         member.sends_left = rumour_sends();
     }
+    member.doubted = false;
     member.entry.heartbeat = item.heartbeat;
     member.entry.state = item.state;
     member.last_progress = now;
--- a/modules/membership/member_table.h
+++ b/modules/membership/member_table.h
@@ -59,8 +59,13 @@
     /// addresses to exchange digests with. Call it every `interval()`.
     std::vector<std::string> begin_round(time_ms now);
 
-    /// The time between two rounds, which grows with the table.
-    [[nodiscard]] time_ms interval() const;
+    /// The time between two rounds.
+    [[nodiscard]] time_ms interval() const { return settings_.interval; }
+
+    /// Notes whether an exchange with a peer address succeeded. After a failure the next round asks
+    /// the peer again; after a second one its entry is doubted and the doubt spreads. An instance
+    /// that hears of a doubt about itself refutes it by a higher heartbeat.
+    void note_exchange(std::string_view peer_address, bool succeeded, time_ms now);
 
     /// The digest to send to a peer, as request or as answer.
     [[nodiscard]] gossip_digest make_digest(time_ms now);
@@ -75,6 +80,9 @@
     /// How long an entry may go without progress before it is suspected, at the current size.
     [[nodiscard]] time_ms suspicion_timeout() const;
 
+    /// How long a doubted entry has to refute the doubt before it is suspected.
+    [[nodiscard]] time_ms refutation_timeout() const;
+
     /// Other incarnations in the order of their names; superseded ones are not in the table.
     [[nodiscard]] std::vector<member_view> members(time_ms now) const;
 
@@ -107,6 +115,10 @@
         int sends_left{0};        ///< digests that still hold the heartbeat before all others
         int detail_sends_left{0}; ///< digests that still hold the details unasked
         std::int64_t last_sent{0};
+        int failed_exchanges{0}; ///< in a row
+        bool doubted{false};     ///< nobody has seen a heartbeat above the present one since
+        time_ms doubted_at{};
+        int doubt_sends_left{0};
     };
     struct unknown_member {
         heartbeat_item item;
@@ -119,6 +131,11 @@
     [[nodiscard]] bool is_suspected(const known_member& member, time_ms now) const;
     [[nodiscard]] int rumour_sends() const;
     void merge_heartbeat(const heartbeat_item& item, time_ms now);
+    void merge_doubt(const heartbeat_item& doubt, time_ms now);
+    void doubt(known_member& member, time_ms now);
+    void add_doubts(gossip_digest& digest);
+    void add_missing_details(gossip_digest& digest, const gossip_digest& request, time_ms now);
+    std::vector<std::string> failed_once(time_ms now) const;
     void merge_unknown(const heartbeat_item& item, time_ms now);
     void merge_detail(const member_entry& detail, time_ms now);
     void outlive(const member_entry& older);
@@ -129,6 +146,7 @@
     void add_heartbeats(gossip_digest& digest, time_ms now);
     void add_details(gossip_digest& digest);
     void add_wanted(gossip_digest& digest);
+    void add_detail(gossip_digest& digest, const member_entry& entry) const;
     void add_wanted_details(gossip_digest& digest, const gossip_digest& request) const;
     void forget_dead(time_ms now);
 
--- a/modules/membership/membership_settings.h
+++ b/modules/membership/membership_settings.h
@@ -16,6 +16,7 @@
     /// partition that must heal without seeds (one hour).
     time_ms forget_after{7'200'000};
     std::size_t max_heartbeats{16};
+    std::size_t max_doubts{8};
     std::size_t max_details{16}; ///< in one digest; a detail takes about 130 bytes
     std::size_t max_wanted{16};
     std::size_t max_hints{4};
--- a/modules/membership/tests/fake_network.h
+++ b/modules/membership/tests/fake_network.h
@@ -167,6 +167,7 @@
     }
 
 private:
+    static constexpr time_ms exchange_timeout = seconds(1);
     static constexpr std::size_t domains = 16;
     static constexpr std::size_t regions = 6;
 
@@ -230,14 +231,18 @@
         for (const auto& target : table(i).begin_round(now_)) {
             const auto to = index_of(target);
             const auto request = table(i).make_digest(now_);
-            deliver(i, to, request, [this, i, to, request] {
+            const auto answered = std::make_shared<bool>(false);
+            deliver(i, to, request, [this, i, to, request, answered] {
                 const auto reply = table(to).answer(request, now_);
                 follow_config(to);
-                deliver(to, i, reply, [this, i, reply] {
+                deliver(to, i, reply, [this, i, reply, answered] {
+                    *answered = true;
                     table(i).merge(reply, now_);
                     follow_config(i);
                 });
             });
+            at(now_ + exchange_timeout,
+               [this, i, target, answered] { table(i).note_exchange(target, *answered, now_); });
         }
         at(now_ + table(i).interval(), [this, i, run] { round(i, run); });
     }
--- a/modules/peer/gen/peer_types.cpp
+++ b/modules/peer/gen/peer_types.cpp
@@ -857,6 +857,15 @@
   this->hints = val;
 __isset.hints = true;
 }
+
+void gossip::__set_known(const int64_t val) {
+  this->known = val;
+}
+
+void gossip::__set_doubts(const std::vector<heartbeat> & val) {
+  this->doubts = val;
+__isset.doubts = true;
+}
 std::ostream& operator<<(std::ostream& out, const gossip& obj)
 {
   obj.printTo(out);
@@ -1029,6 +1038,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->known);
+          this->__isset.known = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->doubts.clear();
+            uint32_t _size40;
+            ::apache::thrift::protocol::TType _etype43;
+            xfer += iprot->readListBegin(_etype43, _size40);
+            this->doubts.resize(_size40);
+            uint32_t _i44;
+            for (_i44 = 0; _i44 < _size40; ++_i44)
+            {
+              xfer += this->doubts[_i44].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.doubts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1061,10 +1098,10 @@
   xfer += oprot->writeFieldBegin("ids", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->ids.size()));
-    std::vector<int64_t> ::const_iterator _iter40;
-    for (_iter40 = this->ids.begin(); _iter40 != this->ids.end(); ++_iter40)
+    std::vector<int64_t> ::const_iterator _iter45;
+    for (_iter45 = this->ids.begin(); _iter45 != this->ids.end(); ++_iter45)
     {
-      xfer += oprot->writeI64((*_iter40));
+      xfer += oprot->writeI64((*_iter45));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1073,10 +1110,10 @@
   xfer += oprot->writeFieldBegin("states_and_heartbeats", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->states_and_heartbeats.size()));
-    std::vector<int64_t> ::const_iterator _iter41;
-    for (_iter41 = this->states_and_heartbeats.begin(); _iter41 != this->states_and_heartbeats.end(); ++_iter41)
+    std::vector<int64_t> ::const_iterator _iter46;
+    for (_iter46 = this->states_and_heartbeats.begin(); _iter46 != this->states_and_heartbeats.end(); ++_iter46)
     {
-      xfer += oprot->writeI64((*_iter41));
+      xfer += oprot->writeI64((*_iter46));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1086,10 +1123,10 @@
     xfer += oprot->writeFieldBegin("details", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->details.size()));
-      std::vector<member> ::const_iterator _iter42;
-      for (_iter42 = this->details.begin(); _iter42 != this->details.end(); ++_iter42)
+      std::vector<member> ::const_iterator _iter47;
+      for (_iter47 = this->details.begin(); _iter47 != this->details.end(); ++_iter47)
       {
-        xfer += (*_iter42).write(oprot);
+        xfer += (*_iter47).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1099,10 +1136,10 @@
     xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_LIST, 7);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->wanted.size()));
-      std::vector<int64_t> ::const_iterator _iter43;
-      for (_iter43 = this->wanted.begin(); _iter43 != this->wanted.end(); ++_iter43)
+      std::vector<int64_t> ::const_iterator _iter48;
+      for (_iter48 = this->wanted.begin(); _iter48 != this->wanted.end(); ++_iter48)
       {
-        xfer += oprot->writeI64((*_iter43));
+        xfer += oprot->writeI64((*_iter48));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1112,10 +1149,10 @@
     xfer += oprot->writeFieldBegin("sought", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->sought.size()));
-      std::vector<std::string> ::const_iterator _iter44;
-      for (_iter44 = this->sought.begin(); _iter44 != this->sought.end(); ++_iter44)
+      std::vector<std::string> ::const_iterator _iter49;
+      for (_iter49 = this->sought.begin(); _iter49 != this->sought.end(); ++_iter49)
       {
-        xfer += oprot->writeString((*_iter44));
+        xfer += oprot->writeString((*_iter49));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1125,10 +1162,27 @@
     xfer += oprot->writeFieldBegin("hints", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->hints.size()));
-      std::vector<budget_hint> ::const_iterator _iter45;
-      for (_iter45 = this->hints.begin(); _iter45 != this->hints.end(); ++_iter45)
+      std::vector<budget_hint> ::const_iterator _iter50;
+      for (_iter50 = this->hints.begin(); _iter50 != this->hints.end(); ++_iter50)
       {
-        xfer += (*_iter45).write(oprot);
+        xfer += (*_iter50).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->known);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.doubts) {
+    xfer += oprot->writeFieldBegin("doubts", ::apache::thrift::protocol::T_LIST, 11);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->doubts.size()));
+      std::vector<heartbeat> ::const_iterator _iter51;
+      for (_iter51 = this->doubts.begin(); _iter51 != this->doubts.end(); ++_iter51)
+      {
+        xfer += (*_iter51).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1150,32 +1204,38 @@
   swap(a.wanted, b.wanted);
   swap(a.sought, b.sought);
   swap(a.hints, b.hints);
+  swap(a.known, b.known);
+  swap(a.doubts, b.doubts);
   swap(a.__isset, b.__isset);
 }
 
-gossip::gossip(const gossip& other46) {
-  own = other46.own;
-  config_term = other46.config_term;
-  config_version = other46.config_version;
-  ids = other46.ids;
-  states_and_heartbeats = other46.states_and_heartbeats;
-  details = other46.details;
-  wanted = other46.wanted;
-  sought = other46.sought;
-  hints = other46.hints;
-  __isset = other46.__isset;
-}
-gossip& gossip::operator=(const gossip& other47) {
-  own = other47.own;
-  config_term = other47.config_term;
-  config_version = other47.config_version;
-  ids = other47.ids;
-  states_and_heartbeats = other47.states_and_heartbeats;
-  details = other47.details;
-  wanted = other47.wanted;
-  sought = other47.sought;
-  hints = other47.hints;
-  __isset = other47.__isset;
+gossip::gossip(const gossip& other52) {
+  own = other52.own;
+  config_term = other52.config_term;
+  config_version = other52.config_version;
+  ids = other52.ids;
+  states_and_heartbeats = other52.states_and_heartbeats;
+  details = other52.details;
+  wanted = other52.wanted;
+  sought = other52.sought;
+  hints = other52.hints;
+  known = other52.known;
+  doubts = other52.doubts;
+  __isset = other52.__isset;
+}
+gossip& gossip::operator=(const gossip& other53) {
+  own = other53.own;
+  config_term = other53.config_term;
+  config_version = other53.config_version;
+  ids = other53.ids;
+  states_and_heartbeats = other53.states_and_heartbeats;
+  details = other53.details;
+  wanted = other53.wanted;
+  sought = other53.sought;
+  hints = other53.hints;
+  known = other53.known;
+  doubts = other53.doubts;
+  __isset = other53.__isset;
   return *this;
 }
 void gossip::printTo(std::ostream& out) const {
@@ -1190,6 +1250,8 @@
   out << ", " << "wanted="; (__isset.wanted ? (out << to_string(wanted)) : (out << "<null>"));
   out << ", " << "sought="; (__isset.sought ? (out << to_string(sought)) : (out << "<null>"));
   out << ", " << "hints="; (__isset.hints ? (out << to_string(hints)) : (out << "<null>"));
+  out << ", " << "known=" << to_string(known);
+  out << ", " << "doubts="; (__isset.doubts ? (out << to_string(doubts)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1320,19 +1382,19 @@
   swap(a.__isset, b.__isset);
 }
 
-config_request::config_request(const config_request& other48) {
-  term = other48.term;
-  since_version = other48.since_version;
-  snapshot = other48.snapshot;
-  cursor = other48.cursor;
-  __isset = other48.__isset;
+config_request::config_request(const config_request& other54) {
+  term = other54.term;
+  since_version = other54.since_version;
+  snapshot = other54.snapshot;
+  cursor = other54.cursor;
+  __isset = other54.__isset;
 }
-config_request& config_request::operator=(const config_request& other49) {
-  term = other49.term;
-  since_version = other49.since_version;
-  snapshot = other49.snapshot;
-  cursor = other49.cursor;
-  __isset = other49.__isset;
+config_request& config_request::operator=(const config_request& other55) {
+  term = other55.term;
+  since_version = other55.since_version;
+  snapshot = other55.snapshot;
+  cursor = other55.cursor;
+  __isset = other55.__isset;
   return *this;
 }
 void config_request::printTo(std::ostream& out) const {
@@ -1433,14 +1495,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size50;
-            ::apache::thrift::protocol::TType _etype53;
-            xfer += iprot->readListBegin(_etype53, _size50);
-            this->entries.resize(_size50);
-            uint32_t _i54;
-            for (_i54 = 0; _i54 < _size50; ++_i54)
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _etype59;
+            xfer += iprot->readListBegin(_etype59, _size56);
+            this->entries.resize(_size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
             {
-              xfer += iprot->readString(this->entries[_i54]);
+              xfer += iprot->readString(this->entries[_i60]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1453,14 +1515,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->routes.clear();
-            uint32_t _size55;
-            ::apache::thrift::protocol::TType _etype58;
-            xfer += iprot->readListBegin(_etype58, _size55);
-            this->routes.resize(_size55);
-            uint32_t _i59;
-            for (_i59 = 0; _i59 < _size55; ++_i59)
+            uint32_t _size61;
+            ::apache::thrift::protocol::TType _etype64;
+            xfer += iprot->readListBegin(_etype64, _size61);
+            this->routes.resize(_size61);
+            uint32_t _i65;
+            for (_i65 = 0; _i65 < _size61; ++_i65)
             {
-              xfer += iprot->readString(this->routes[_i59]);
+              xfer += iprot->readString(this->routes[_i65]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1473,14 +1535,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->pools.clear();
-            uint32_t _size60;
-            ::apache::thrift::protocol::TType _etype63;
-            xfer += iprot->readListBegin(_etype63, _size60);
-            this->pools.resize(_size60);
-            uint32_t _i64;
-            for (_i64 = 0; _i64 < _size60; ++_i64)
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->pools.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
             {
-              xfer += iprot->readString(this->pools[_i64]);
+              xfer += iprot->readString(this->pools[_i70]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1529,10 +1591,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->entries.size()));
-    std::vector<std::string> ::const_iterator _iter65;
-    for (_iter65 = this->entries.begin(); _iter65 != this->entries.end(); ++_iter65)
+    std::vector<std::string> ::const_iterator _iter71;
+    for (_iter71 = this->entries.begin(); _iter71 != this->entries.end(); ++_iter71)
     {
-      xfer += oprot->writeString((*_iter65));
+      xfer += oprot->writeString((*_iter71));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1541,10 +1603,10 @@
   xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->routes.size()));
-    std::vector<std::string> ::const_iterator _iter66;
-    for (_iter66 = this->routes.begin(); _iter66 != this->routes.end(); ++_iter66)
+    std::vector<std::string> ::const_iterator _iter72;
+    for (_iter72 = this->routes.begin(); _iter72 != this->routes.end(); ++_iter72)
     {
-      xfer += oprot->writeString((*_iter66));
+      xfer += oprot->writeString((*_iter72));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1553,10 +1615,10 @@
   xfer += oprot->writeFieldBegin("pools", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->pools.size()));
-    std::vector<std::string> ::const_iterator _iter67;
-    for (_iter67 = this->pools.begin(); _iter67 != this->pools.end(); ++_iter67)
+    std::vector<std::string> ::const_iterator _iter73;
+    for (_iter73 = this->pools.begin(); _iter73 != this->pools.end(); ++_iter73)
     {
-      xfer += oprot->writeString((*_iter67));
+      xfer += oprot->writeString((*_iter73));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1583,25 +1645,25 @@
   swap(a.__isset, b.__isset);
 }
 
-config_reply::config_reply(const config_reply& other68) {
-  code = other68.code;
-  term = other68.term;
-  version = other68.version;
-  entries = other68.entries;
-  routes = other68.routes;
-  pools = other68.pools;
-  next_cursor = other68.next_cursor;
-  __isset = other68.__isset;
-}
-config_reply& config_reply::operator=(const config_reply& other69) {
-  code = other69.code;
-  term = other69.term;
-  version = other69.version;
-  entries = other69.entries;
-  routes = other69.routes;
-  pools = other69.pools;
-  next_cursor = other69.next_cursor;
-  __isset = other69.__isset;
+config_reply::config_reply(const config_reply& other74) {
+  code = other74.code;
+  term = other74.term;
+  version = other74.version;
+  entries = other74.entries;
+  routes = other74.routes;
+  pools = other74.pools;
+  next_cursor = other74.next_cursor;
+  __isset = other74.__isset;
+}
+config_reply& config_reply::operator=(const config_reply& other75) {
+  code = other75.code;
+  term = other75.term;
+  version = other75.version;
+  entries = other75.entries;
+  routes = other75.routes;
+  pools = other75.pools;
+  next_cursor = other75.next_cursor;
+  __isset = other75.__isset;
   return *this;
 }
 void config_reply::printTo(std::ostream& out) const {
@@ -1778,23 +1840,23 @@
   swap(a.__isset, b.__isset);
 }
 
-forward_request::forward_request(const forward_request& other70) {
-  account = other70.account;
-  key = other70.key;
-  kind = other70.kind;
-  body = other70.body;
-  content_type = other70.content_type;
-  timeout_ms = other70.timeout_ms;
-  __isset = other70.__isset;
-}
-forward_request& forward_request::operator=(const forward_request& other71) {
-  account = other71.account;
-  key = other71.key;
-  kind = other71.kind;
-  body = other71.body;
-  content_type = other71.content_type;
-  timeout_ms = other71.timeout_ms;
-  __isset = other71.__isset;
+forward_request::forward_request(const forward_request& other76) {
+  account = other76.account;
+  key = other76.key;
+  kind = other76.kind;
+  body = other76.body;
+  content_type = other76.content_type;
+  timeout_ms = other76.timeout_ms;
+  __isset = other76.__isset;
+}
+forward_request& forward_request::operator=(const forward_request& other77) {
+  account = other77.account;
+  key = other77.key;
+  kind = other77.kind;
+  body = other77.body;
+  content_type = other77.content_type;
+  timeout_ms = other77.timeout_ms;
+  __isset = other77.__isset;
   return *this;
 }
 void forward_request::printTo(std::ostream& out) const {
@@ -1970,23 +2032,23 @@
   swap(a.__isset, b.__isset);
 }
 
-forward_reply::forward_reply(const forward_reply& other72) {
-  code = other72.code;
-  status = other72.status;
-  body = other72.body;
-  content_type = other72.content_type;
-  outcome = other72.outcome;
-  message = other72.message;
-  __isset = other72.__isset;
-}
-forward_reply& forward_reply::operator=(const forward_reply& other73) {
-  code = other73.code;
-  status = other73.status;
-  body = other73.body;
-  content_type = other73.content_type;
-  outcome = other73.outcome;
-  message = other73.message;
-  __isset = other73.__isset;
+forward_reply::forward_reply(const forward_reply& other78) {
+  code = other78.code;
+  status = other78.status;
+  body = other78.body;
+  content_type = other78.content_type;
+  outcome = other78.outcome;
+  message = other78.message;
+  __isset = other78.__isset;
+}
+forward_reply& forward_reply::operator=(const forward_reply& other79) {
+  code = other79.code;
+  status = other79.status;
+  body = other79.body;
+  content_type = other79.content_type;
+  outcome = other79.outcome;
+  message = other79.message;
+  __isset = other79.__isset;
   return *this;
 }
 void forward_reply::printTo(std::ostream& out) const {
@@ -2145,21 +2207,21 @@
   swap(a.__isset, b.__isset);
 }
 
-transfer::transfer(const transfer& other74) {
-  sender = other74.sender;
-  receiver = other74.receiver;
-  n = other74.n;
-  budget = other74.budget;
-  amount = other74.amount;
-  __isset = other74.__isset;
-}
-transfer& transfer::operator=(const transfer& other75) {
-  sender = other75.sender;
-  receiver = other75.receiver;
-  n = other75.n;
-  budget = other75.budget;
-  amount = other75.amount;
-  __isset = other75.__isset;
+transfer::transfer(const transfer& other80) {
+  sender = other80.sender;
+  receiver = other80.receiver;
+  n = other80.n;
+  budget = other80.budget;
+  amount = other80.amount;
+  __isset = other80.__isset;
+}
+transfer& transfer::operator=(const transfer& other81) {
+  sender = other81.sender;
+  receiver = other81.receiver;
+  n = other81.n;
+  budget = other81.budget;
+  amount = other81.amount;
+  __isset = other81.__isset;
   return *this;
 }
 void transfer::printTo(std::ostream& out) const {
@@ -2283,17 +2345,17 @@
   swap(a.__isset, b.__isset);
 }
 
-transfer_request::transfer_request(const transfer_request& other76) {
-  receiver = other76.receiver;
-  budget = other76.budget;
-  amount = other76.amount;
-  __isset = other76.__isset;
+transfer_request::transfer_request(const transfer_request& other82) {
+  receiver = other82.receiver;
+  budget = other82.budget;
+  amount = other82.amount;
+  __isset = other82.__isset;
 }
-transfer_request& transfer_request::operator=(const transfer_request& other77) {
-  receiver = other77.receiver;
-  budget = other77.budget;
-  amount = other77.amount;
-  __isset = other77.__isset;
+transfer_request& transfer_request::operator=(const transfer_request& other83) {
+  receiver = other83.receiver;
+  budget = other83.budget;
+  amount = other83.amount;
+  __isset = other83.__isset;
   return *this;
 }
 void transfer_request::printTo(std::ostream& out) const {
@@ -2357,14 +2419,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->offers.clear();
-            uint32_t _size78;
-            ::apache::thrift::protocol::TType _etype81;
-            xfer += iprot->readListBegin(_etype81, _size78);
-            this->offers.resize(_size78);
-            uint32_t _i82;
-            for (_i82 = 0; _i82 < _size78; ++_i82)
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->offers.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
             {
-              xfer += this->offers[_i82].read(iprot);
+              xfer += this->offers[_i88].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2397,10 +2459,10 @@
   xfer += oprot->writeFieldBegin("offers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->offers.size()));
-    std::vector<transfer> ::const_iterator _iter83;
-    for (_iter83 = this->offers.begin(); _iter83 != this->offers.end(); ++_iter83)
+    std::vector<transfer> ::const_iterator _iter89;
+    for (_iter89 = this->offers.begin(); _iter89 != this->offers.end(); ++_iter89)
     {
-      xfer += (*_iter83).write(oprot);
+      xfer += (*_iter89).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2418,15 +2480,15 @@
   swap(a.__isset, b.__isset);
 }
 
-transfer_reply::transfer_reply(const transfer_reply& other84) {
-  code = other84.code;
-  offers = other84.offers;
-  __isset = other84.__isset;
+transfer_reply::transfer_reply(const transfer_reply& other90) {
+  code = other90.code;
+  offers = other90.offers;
+  __isset = other90.__isset;
 }
-transfer_reply& transfer_reply::operator=(const transfer_reply& other85) {
-  code = other85.code;
-  offers = other85.offers;
-  __isset = other85.__isset;
+transfer_reply& transfer_reply::operator=(const transfer_reply& other91) {
+  code = other91.code;
+  offers = other91.offers;
+  __isset = other91.__isset;
   return *this;
 }
 void transfer_reply::printTo(std::ostream& out) const {
@@ -2477,14 +2539,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->offers.clear();
-            uint32_t _size86;
-            ::apache::thrift::protocol::TType _etype89;
-            xfer += iprot->readListBegin(_etype89, _size86);
-            this->offers.resize(_size86);
-            uint32_t _i90;
-            for (_i90 = 0; _i90 < _size86; ++_i90)
+            uint32_t _size92;
+            ::apache::thrift::protocol::TType _etype95;
+            xfer += iprot->readListBegin(_etype95, _size92);
+            this->offers.resize(_size92);
+            uint32_t _i96;
+            for (_i96 = 0; _i96 < _size92; ++_i96)
             {
-              xfer += this->offers[_i90].read(iprot);
+              xfer += this->offers[_i96].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2513,10 +2575,10 @@
   xfer += oprot->writeFieldBegin("offers", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->offers.size()));
-    std::vector<transfer> ::const_iterator _iter91;
-    for (_iter91 = this->offers.begin(); _iter91 != this->offers.end(); ++_iter91)
+    std::vector<transfer> ::const_iterator _iter97;
+    for (_iter97 = this->offers.begin(); _iter97 != this->offers.end(); ++_iter97)
     {
-      xfer += (*_iter91).write(oprot);
+      xfer += (*_iter97).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2533,13 +2595,13 @@
   swap(a.__isset, b.__isset);
 }
 
-transfer_offer::transfer_offer(const transfer_offer& other92) {
-  offers = other92.offers;
-  __isset = other92.__isset;
+transfer_offer::transfer_offer(const transfer_offer& other98) {
+  offers = other98.offers;
+  __isset = other98.__isset;
 }
-transfer_offer& transfer_offer::operator=(const transfer_offer& other93) {
-  offers = other93.offers;
-  __isset = other93.__isset;
+transfer_offer& transfer_offer::operator=(const transfer_offer& other99) {
+  offers = other99.offers;
+  __isset = other99.__isset;
   return *this;
 }
 void transfer_offer::printTo(std::ostream& out) const {
@@ -2676,19 +2738,19 @@
   swap(a.__isset, b.__isset);
 }
 
-transfer_ack::transfer_ack(const transfer_ack& other94) {
-  code = other94.code;
-  sender = other94.sender;
-  receiver = other94.receiver;
-  n = other94.n;
-  __isset = other94.__isset;
+transfer_ack::transfer_ack(const transfer_ack& other100) {
+  code = other100.code;
+  sender = other100.sender;
+  receiver = other100.receiver;
+  n = other100.n;
+  __isset = other100.__isset;
 }
-transfer_ack& transfer_ack::operator=(const transfer_ack& other95) {
-  code = other95.code;
-  sender = other95.sender;
-  receiver = other95.receiver;
-  n = other95.n;
-  __isset = other95.__isset;
+transfer_ack& transfer_ack::operator=(const transfer_ack& other101) {
+  code = other101.code;
+  sender = other101.sender;
+  receiver = other101.receiver;
+  n = other101.n;
+  __isset = other101.__isset;
   return *this;
 }
 void transfer_ack::printTo(std::ostream& out) const {
@@ -2777,13 +2839,13 @@
   swap(a.__isset, b.__isset);
 }
 
-received_query::received_query(const received_query& other96) {
-  sender = other96.sender;
-  __isset = other96.__isset;
+received_query::received_query(const received_query& other102) {
+  sender = other102.sender;
+  __isset = other102.__isset;
 }
-received_query& received_query::operator=(const received_query& other97) {
-  sender = other97.sender;
-  __isset = other97.__isset;
+received_query& received_query::operator=(const received_query& other103) {
+  sender = other103.sender;
+  __isset = other103.__isset;
   return *this;
 }
 void received_query::printTo(std::ostream& out) const {
@@ -2869,17 +2931,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->received.clear();
-            uint32_t _size98;
-            ::apache::thrift::protocol::TType _ktype99;
-            ::apache::thrift::protocol::TType _vtype100;
-            xfer += iprot->readMapBegin(_ktype99, _vtype100, _size98);
-            uint32_t _i102;
-            for (_i102 = 0; _i102 < _size98; ++_i102)
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _ktype105;
+            ::apache::thrift::protocol::TType _vtype106;
+            xfer += iprot->readMapBegin(_ktype105, _vtype106, _size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
             {
-              std::string _key103;
-              xfer += iprot->readString(_key103);
-              int64_t& _val104 = this->received[_key103];
-              xfer += iprot->readI64(_val104);
+              std::string _key109;
+              xfer += iprot->readString(_key109);
+              int64_t& _val110 = this->received[_key109];
+              xfer += iprot->readI64(_val110);
             }
             xfer += iprot->readMapEnd();
           }
@@ -2920,11 +2982,11 @@
   xfer += oprot->writeFieldBegin("received", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->received.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter105;
-    for (_iter105 = this->received.begin(); _iter105 != this->received.end(); ++_iter105)
+    std::map<std::string, int64_t> ::const_iterator _iter111;
+    for (_iter111 = this->received.begin(); _iter111 != this->received.end(); ++_iter111)
     {
-      xfer += oprot->writeString(_iter105->first);
-      xfer += oprot->writeI64(_iter105->second);
+      xfer += oprot->writeString(_iter111->first);
+      xfer += oprot->writeI64(_iter111->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -2944,19 +3006,19 @@
   swap(a.__isset, b.__isset);
 }
 
-received_reply::received_reply(const received_reply& other106) {
-  code = other106.code;
-  receiver = other106.receiver;
-  last_n = other106.last_n;
-  received = other106.received;
-  __isset = other106.__isset;
+received_reply::received_reply(const received_reply& other112) {
+  code = other112.code;
+  receiver = other112.receiver;
+  last_n = other112.last_n;
+  received = other112.received;
+  __isset = other112.__isset;
 }
-received_reply& received_reply::operator=(const received_reply& other107) {
-  code = other107.code;
-  receiver = other107.receiver;
-  last_n = other107.last_n;
-  received = other107.received;
-  __isset = other107.__isset;
+received_reply& received_reply::operator=(const received_reply& other113) {
+  code = other113.code;
+  receiver = other113.receiver;
+  last_n = other113.last_n;
+  received = other113.received;
+  __isset = other113.__isset;
   return *this;
 }
 void received_reply::printTo(std::ostream& out) const {
--- a/modules/peer/gen/peer_types.h
+++ b/modules/peer/gen/peer_types.h
@@ -390,7 +390,7 @@
 std::ostream& operator<<(std::ostream& out, const budget_hint& obj);
 
 typedef struct _gossip__isset {
-  _gossip__isset() : own(false), config_term(false), config_version(false), ids(false), states_and_heartbeats(false), details(false), wanted(false), sought(false), hints(false) {}
+  _gossip__isset() : own(false), config_term(false), config_version(false), ids(false), states_and_heartbeats(false), details(false), wanted(false), sought(false), hints(false), known(false), doubts(false) {}
   bool own :1;
   bool config_term :1;
   bool config_version :1;
@@ -400,6 +400,8 @@
   bool wanted :1;
   bool sought :1;
   bool hints :1;
+  bool known :1;
+  bool doubts :1;
 } _gossip__isset;
 
 class gossip : public virtual ::apache::thrift::TBase {
@@ -409,7 +411,8 @@
   gossip& operator=(const gossip&);
   gossip() noexcept
          : config_term(0),
-           config_version(0) {
+           config_version(0),
+           known(0) {
   }
 
   virtual ~gossip() noexcept;
@@ -422,6 +425,8 @@
   std::vector<int64_t>  wanted;
   std::vector<std::string>  sought;
   std::vector<budget_hint>  hints;
+  int64_t known;
+  std::vector<heartbeat>  doubts;
 
   _gossip__isset __isset;
 
@@ -443,6 +448,10 @@
 
   void __set_hints(const std::vector<budget_hint> & val);
 
+  void __set_known(const int64_t val);
+
+  void __set_doubts(const std::vector<heartbeat> & val);
+
   bool operator == (const gossip & rhs) const
   {
     if (!(own == rhs.own))
@@ -471,6 +480,12 @@
       return false;
     else if (__isset.hints && !(hints == rhs.hints))
       return false;
+    if (!(known == rhs.known))
+      return false;
+    if (__isset.doubts != rhs.__isset.doubts)
+      return false;
+    else if (__isset.doubts && !(doubts == rhs.doubts))
+      return false;
     return true;
   }
   bool operator != (const gossip &rhs) const {
--- a/modules/peer/peer.thrift
+++ b/modules/peer/peer.thrift
@@ -55,6 +55,10 @@
   7: optional list<i64> wanted
   8: optional list<string> sought
   9: optional list<budget_hint> hints
+  // Number of instances that the sender does not suspect.
+  10: i64 known
+  // Instances that could not be reached, with the last heartbeat that the sender knows.
+  11: optional list<heartbeat> doubts
 }
 
 // Asks for the log entries after a version, or for a page of the whole tables.
--- a/modules/peer/peer_messages.cpp
+++ b/modules/peer/peer_messages.cpp
@@ -92,6 +92,14 @@
         message.ids.push_back(item.id);
         message.states_and_heartbeats.push_back(pack(item.heartbeat, item.state));
     }
+    message.known = digest.known;
+    for (const auto& doubt : digest.doubts) {
+        wire::heartbeat item;
+        item.id = doubt.id;
+        item.state_and_heartbeat = pack(doubt.heartbeat, doubt.state);
+        message.doubts.push_back(item);
+    }
+    message.__isset.doubts = !digest.doubts.empty();
     set_details(message, digest);
     set_hints(message, digest);
     if (!digest.wanted.empty()) {
@@ -115,6 +123,11 @@
         const auto packed = message.states_and_heartbeats[i];
         digest.heartbeats.push_back({message.ids[i], heartbeat_of(packed), state_of(packed)});
     }
+    digest.known = message.known;
+    for (const auto& doubt : message.doubts) {
+        const auto packed = doubt.state_and_heartbeat;
+        digest.doubts.push_back({doubt.id, heartbeat_of(packed), state_of(packed)});
+    }
     for (const auto& member : message.details) {
         digest.details.push_back(to_entry(member));
     }
--- a/modules/peer/tests/peer_tests.cpp
+++ b/modules/peer/tests/peer_tests.cpp
@@ -310,6 +310,8 @@
     digest.heartbeats = {{7, 100, member_state::active}, {8, 1, member_state::draining}};
     digest.details = {{"router-1", "router-1-00", "127.0.0.1:80", "127.0.0.1:81", "north-a",
                        "scot-north", 1700, member_state::active, 4, 2, 11}};
+    digest.known = 3;
+    digest.doubts = {{8, 1, member_state::draining}};
     digest.wanted = {3};
     digest.sought = {"grit"};
     digest.hints = {{7, "grit", 500, time_ms{30}}};
