--- a/apps/gossip_measure/main.cpp
+++ b/apps/gossip_measure/main.cpp
@@ -25,6 +25,7 @@
 // Worst values over the runs of one size.
 struct measurement {
     std::int64_t join_ms{0};          ///< from a start of all instances until each knows all
+    std::int64_t rejoin_ms{0};        ///< until a restarted instance knows all and is known to all
     std::int64_t version_ms{0};       ///< until a new configuration version is in force everywhere
     std::int64_t drain_ms{0};         ///< until a drain is known everywhere
     std::int64_t death_ms{0};         ///< until a killed instance has left every address list
@@ -108,6 +109,20 @@
     worst(kept.death_ms, network.run_until([&] { return network.all(gone); }, limit));
 }
 
+void measure_restart(fake_network& network, measurement& kept)
+{
+    const auto restarted = network.nodes().size() - 1;
+    network.kill(restarted);
+    network.start(restarted);
+    const auto name = network.table(restarted).own().incarnation;
+    const auto size = static_cast<int>(network.nodes().size());
+    const auto joined = [&](member_table& table) {
+        return table.own().incarnation == name ? table.live_instances(network.now()) == size
+                                               : table.find(name, network.now()).has_value();
+    };
+    worst(kept.rejoin_ms, network.run_until([&] { return network.all(joined); }, minutes(5)));
+}
+
 measurement measure(std::size_t size)
 {
     measurement kept;
@@ -124,6 +139,7 @@
         network.run_for(seconds(60));
         kept.suspect_ms = network.table(0).suspicion_timeout().count();
         measure_steady(network, kept);
+        measure_restart(network, kept);
         measure_changes(network, kept);
     }
     return kept;
@@ -133,6 +149,7 @@
 {
     return {{"instances", size},
             {"join_ms", m.join_ms},
+            {"rejoin_ms", m.rejoin_ms},
             {"version_ms", m.version_ms},
             {"drain_ms", m.drain_ms},
             {"death_ms", m.death_ms},
@@ -157,9 +174,10 @@
     check.exit_on_error();
     auto rows = nlohmann::json::array();
     if (!FLAGS_json) {
-        fmt::print("{:>9} {:>7} {:>9} {:>8} {:>8} {:>10} {:>9} {:>6} {:>7} {:>8} {:>6} {:>8}\n",
-                   "instances", "join s", "version s", "drain s", "death s", "suspect s",
-                   "oldest s", "false", "sent/s", "s+r/s", "msg/s", "cpu ms/s");
+        fmt::print(
+            "{:>9} {:>7} {:>8} {:>9} {:>8} {:>8} {:>10} {:>9} {:>6} {:>7} {:>8} {:>6} {:>8}\n",
+            "instances", "join s", "rejoin s", "version s", "drain s", "death s", "suspect s",
+            "oldest s", "false", "sent/s", "s+r/s", "msg/s", "cpu ms/s");
     }
     for (const auto& text : split_list(FLAGS_sizes)) {
         const auto size = std::stoul(text);
@@ -169,11 +187,12 @@
             continue;
         }
         const auto s = [](std::int64_t ms) { return static_cast<double>(ms) / 1000; };
-        fmt::print("{:>9} {:>7.1f} {:>9.1f} {:>8.1f} {:>8.1f} {:>10.1f} {:>9.1f} {:>6} {:>7.0f} "
-                   "{:>8.0f} {:>6.2f} {:>8.3f}\n",
-                   size, s(m.join_ms), s(m.version_ms), s(m.drain_ms), s(m.death_ms),
-                   s(m.suspect_ms), s(m.oldest_ms), m.false_suspicions, m.sent, m.both, m.messages,
-                   m.cpu_ms);
+        fmt::print(
+            "{:>9} {:>7.1f} {:>8.1f} {:>9.1f} {:>8.1f} {:>8.1f} {:>10.1f} {:>9.1f} {:>6} {:>7.0f} "
+            "{:>8.0f} {:>6.2f} {:>8.3f}\n",
+            size, s(m.join_ms), s(m.rejoin_ms), s(m.version_ms), s(m.drain_ms), s(m.death_ms),
+            s(m.suspect_ms), s(m.oldest_ms), m.false_suspicions, m.sent, m.both, m.messages,
+            m.cpu_ms);
     }
     if (FLAGS_json) {
         std::cout << rows.dump(2) << "\n";
--- a/modules/membership/member_table.cpp
+++ b/modules/membership/member_table.cpp
@@ -218,12 +218,23 @@
         --own_detail_sends_left_;
         digest.details.push_back(own_);
     }
+    std::vector<known_member*> news;
     for (auto& [id, member] : members_) {
-        if (member.detail_sends_left > 0 && digest.details.size() < settings_.max_details) {
-            --member.detail_sends_left;
-            digest.details.push_back(member.entry);
+        if (member.detail_sends_left > 0) {
+            news.push_back(&member);
         }
     }
+    const auto room = settings_.max_details - digest.details.size();
+    const auto count = std::min(news.size(), room);
+    const auto middle = news.begin() + static_cast<std::ptrdiff_t>(count);
+    std::shuffle(news.begin(), news.end(), random_);
+    std::partial_sort(news.begin(), middle, news.end(), [](const auto* a, const auto* b) {
+        return a->detail_sends_left > b->detail_sends_left;
+    });
+    for (auto it = news.begin(); it != middle; ++it) {
+        --(*it)->detail_sends_left;
+        digest.details.push_back((*it)->entry);
+    }
 }
 
 void member_table::add_wanted(gossip_digest& digest)
