--- a/modules/budget/tests/codec_tests.cpp
+++ b/modules/budget/tests/codec_tests.cpp
@@ -28,7 +28,7 @@
                                 12};
     CHECK(*parse_instance_row(to_text(instance)) == instance);
     const term_row term{4, "braeside"};
-    CHECK(*parse_term_row(to_text(term)) == term);
+    CHECK(*decode_term(encode(term)) == term);
     const segment cut{
         "a-1", 9, {{"b", 5}}, {{"council", "k", "b", 5}}, {{"s", 2}}, {{"s", 1, "b", 40}}};
     CHECK(*parse_segment(to_text(cut)) == cut);
@@ -64,7 +64,7 @@
     auto unknown_state = to_text(instance_row{});
     unknown_state.replace(unknown_state.find("active"), 6, "asleep");
     CHECK(!parse_instance_row(unknown_state));
-    CHECK(!parse_term_row(R"({"term":"1","operator":"x"})"));
+    CHECK(!decode_term(R"({"term":"1","operator":"x"})"));
     CHECK(!parse_segment(R"({"incarnation":"a","seq":1,"budgets":[1]})"));
     CHECK(!parse_pool_limit(R"({"budget":"b"})"));
 }
--- a/modules/budget/tests/grant_book_tests.cpp
+++ b/modules/budget/tests/grant_book_tests.cpp
@@ -191,7 +191,7 @@
     fleet at{1, 1000};
     auto& only = *at.nodes[0];
     fill(at, only, 100);
-    at.platform.put("term", to_text(term_row{test_term + 1, "next"}));
+    at.platform.put("term", encode(term_row{test_term + 1, "next"}));
     only.book.reserve(budget_name, 2000, at.now);
     at.now = at.now + seconds(10);
     at.refill(only, generous);
--- a/modules/router/membership_service.cpp
+++ b/modules/router/membership_service.cpp
@@ -51,6 +51,10 @@
         request = to_message(table_.make_digest(clock_.now()));
     }
     const auto reply = peers_.call(address, request, timeout_);
+    {
+        const std::lock_guard lock{mutex_};
+        table_.note_exchange(address, static_cast<bool>(reply), clock_.now());
+    }
     if (!reply) {
         return;
     }
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -8,6 +8,7 @@
 start() {
   local name=$1 program=$2
   shift 2
+  : >"$work/$name.out"
   "$bin/$program" "$@" >"$work/$name.out" 2>"$work/$name.log" &
   pid_of[$name]=$!
   for _ in $(seq 1 200); do
@@ -21,18 +22,6 @@
   return 1
 }
 
-# wait_exit NAME SECONDS waits for a program to end and returns its exit code, 124 after the limit.
-wait_exit() {
-  for _ in $(seq 1 $(($2 * 20))); do
-    if ! kill -0 "${pid_of[$1]}" 2>/dev/null; then
-      wait "${pid_of[$1]}"
-      return
-    fi
-    sleep 0.05
-  done
-  return 124
-}
-
 # stop_all ends everything that start has started.
 stop_all() {
   local name
@@ -63,5 +52,5 @@
 
 # number FIELD FILE prints a number from a file of flat JSON.
 number() {
-  grep -o "\"$1\": *-\?[0-9]*" "$2" | head -1 | grep -o '\-\?[0-9]*$'
+  sed -n "s/.*\"$1\": *\(-\{0,1\}[0-9]\{1,\}\).*/\1/p" "$2" | head -1
 }
