--- a/modules/standins/tests/backend_standins_tests.cpp
+++ b/modules/standins/tests/backend_standins_tests.cpp
@@ -280,6 +280,7 @@
 {
     auto setup = std::make_unique<engine_setup>();
     const auto address = setup->engine.address();
+    setup->engine.set_faults({1});
     std::thread restart{[&] {
         std::this_thread::sleep_for(std::chrono::milliseconds{300});
         setup.reset();
@@ -291,7 +292,6 @@
     auto patient = quick_options();
     patient.resume.resumes_without_progress = 1000;
     backend_client client{patient, counted};
-    setup->engine.set_faults({1});
     const auto result = client.run(address, chat("i.s.1"), [](const auto&) { return true; });
     restart.join();
     CHECK(result.end == backend_end::lost);
