Reduce writes and refusals near the end of a budget

- An instance took a free part smaller than one request and returned it as surplus, again and again.
It now leaves it.
- Hints of a shortage caused returns as often as they came; now at most every 10 s.

platform-per-request returned tokens before the waiting request had taken them; it now returns only after a request has ended.

--- a/modules/budget/demand_driven.cpp
+++ b/modules/budget/demand_driven.cpp
@@ -17,8 +17,11 @@
     const auto stock =
         static_cast<token_count>(facts.demand_per_ms * 2 * static_cast<double>(horizon_.count()));
     const auto wish = std::max(stock, facts.shortage);
+    // With free / (2 x live), most of a nearly used-up budget stays in the ledger, where no
+    // instance reaches it during a platform outage; returns and transfers even out larger grants.
     const auto bound =
-        std::min(facts.limit / limit_divisor_, std::max<token_count>(0, free) / (2 * live));
+        std::min(facts.limit / limit_divisor_,
+                 std::max<token_count>(0, free) / std::max<std::int64_t>(2, live / 2));
     return std::max(std::min(wish, bound), facts.request);
 }
 
@@ -29,8 +32,9 @@
     if (!is_short) {
         return -surplus(facts);
     }
-    const auto least = facts.shortage > 0 ? facts.request : 1;
     // Less than one request cannot be used here, but perhaps by an instance with smaller ones.
+    // Taking it all the same would have it returned as surplus, again and again.
+    const auto least = facts.shortage > 0 ? std::min(facts.shortage, facts.request) : facts.request;
     if (facts.free <= 0 || facts.available + facts.free < least) {
         return -surplus(facts);
     }
--- a/modules/budget/grant_book.cpp
+++ b/modules/budget/grant_book.cpp
@@ -138,6 +138,7 @@
     item.spend_changed = item.spend_changed || used > 0;
     item.last_use = now;
     item.demand.add(used, now);
+    item.settled_since_grant = true;
     ++counts_.settled;
     if (used > tokens) {
         ++counts_.usage_above_reservation;
@@ -235,11 +236,13 @@
     return changed;
 }
 
-void grant_book::note_shortage_elsewhere(std::string_view budget)
+void grant_book::note_shortage_elsewhere(std::string_view budget, time_ms now)
 {
     const auto found = entries_.find(budget);
-    if (found != entries_.end() && found->second.available() > 0) {
+    if (found != entries_.end() && found->second.available() > 0 &&
+        now >= found->second.next_hint) {
         found->second.look = true;
+        found->second.next_hint = now + timing_.hint_interval;
     }
 }
 
@@ -310,6 +313,7 @@
     facts.request = item.request;
     facts.shortage = item.shortage;
     facts.live_instances = live_instances;
+    facts.settled_since_grant = item.settled_since_grant;
     facts.first_grant = item.row_version == 0;
     return facts;
 }
@@ -397,6 +401,7 @@
         item.recorded_received = change.received;
         item.closed = item.closed || change.closed;
         item.free = change.free_after;
+        item.settled_since_grant = false;
         item.shortage = 0;
         item.planned = false;
         item.alone = false;
--- a/modules/budget/grant_book.h
+++ b/modules/budget/grant_book.h
@@ -100,6 +100,7 @@
     time_ms retry_first{time_ms{200}};   ///< after a conflict or a failed call; doubled each time
     time_ms retry_last{seconds(5)};      ///< largest delay between attempts
     time_ms exhausted_retry{seconds(1)}; ///< between looks at a ledger with nothing free
+    time_ms hint_interval{seconds(10)};  ///< between returns because others lack tokens
     time_ms idle_after{minutes(70)};     ///< a budget unused for this long is returned and dropped
     std::size_t batch_size{64};          ///< budgets in one transaction
 };
@@ -150,8 +151,9 @@
     /// Budgets whose spend changed since the last call, with their cumulative spend.
     std::vector<budget_spend> take_changed_spend();
 
-    /// Another incarnation lacks tokens: look at the ledger soon and return a surplus.
-    void note_shortage_elsewhere(std::string_view budget);
+    /// Another incarnation lacks tokens: look at the ledger soon and return a surplus. Takes effect
+    /// at most once per `refill_timing::hint_interval`, so that hints cause few writes.
+    void note_shortage_elsewhere(std::string_view budget, time_ms now);
 
     /// Chooses the budgets whose grants need a change now, empty if none. Call again until the
     /// batch is empty. The budgets of a batch stay out of further batches until `apply` or
@@ -270,8 +272,10 @@
         bool closed{false};
         bool close_sent{false};
         bool look{false};
+        bool settled_since_grant{false};
         time_ms next_try{};
         time_ms next_look{};
+        time_ms next_hint{};
         time_ms last_use{};
         std::int64_t failures{0};
 
--- a/modules/budget/platform_per_request.h
+++ b/modules/budget/platform_per_request.h
@@ -12,7 +12,11 @@
     /// Tokens to add or return, see `grant_policy`.
     [[nodiscard]] token_count wanted(const grant_facts& facts) const
     {
-        return facts.shortage - facts.available;
+        if (facts.shortage > 0) {
+            return std::max<token_count>(0, facts.shortage - facts.available);
+        }
+        // Tokens that were fetched for a waiting request stay until it has taken them.
+        return facts.settled_since_grant ? -std::max<token_count>(0, facts.available) : 0;
     }
 };
 
--- a/modules/budget/tests/grant_book_tests.cpp
+++ b/modules/budget/tests/grant_book_tests.cpp
@@ -271,11 +271,12 @@
     CHECK_EQUAL(840, policy.target(facts, facts.free)); // 2 x 70 min of demand
     facts.demand_per_ms = 1;
     CHECK_EQUAL(1000, policy.target(facts, facts.free)); // 0.1 % of the limit
-    facts.free = 9000;
-    CHECK_EQUAL(500, policy.target(facts, facts.free)); // free / (2 x 9)
+    facts.free = 2000;
+    CHECK_EQUAL(500, policy.target(facts, facts.free)); // free / (9 / 2)
     facts.request = 800;
     CHECK_EQUAL(800, policy.target(facts, facts.free)); // one request
     facts.free = 700;
+    CHECK_EQUAL(0, policy.wanted(facts)); // less than one request is left to others
     facts.shortage = 800;
     CHECK_EQUAL(0, policy.wanted(facts)); // less than one request is left to others
     facts.available = 100;
@@ -301,6 +302,7 @@
     CHECK_EQUAL(-49'000, policy.wanted(facts));
 }
 
+// Guards against baselines that do not do what their names say, which would make comparisons void.
 TEST(grant_policy, baselines)
 {
     grant_facts facts;
@@ -313,6 +315,8 @@
     CHECK_EQUAL(30, platform_per_request{}.wanted(facts));
     facts.shortage = 0;
     facts.available = 12;
+    CHECK_EQUAL(0, platform_per_request{}.wanted(facts));
+    facts.settled_since_grant = true;
     CHECK_EQUAL(-12, platform_per_request{}.wanted(facts));
 }
 
--- a/modules/budget/tests/random_fleet_tests.cpp
+++ b/modules/budget/tests/random_fleet_tests.cpp
@@ -184,7 +184,7 @@
         if (at.alive) {
             fleet_.settle_drained(at);
         }
-        at.book.note_shortage_elsewhere(budget_name);
+        at.book.note_shortage_elsewhere(budget_name, fleet_.now);
         if (fleet_.variant != wrong_variant::reclaim_by_time) {
             return;
         }
--- a/modules/recovery/tests/recovery_tests.cpp
+++ b/modules/recovery/tests/recovery_tests.cpp
@@ -393,7 +393,7 @@
     at.send(back, commit_fate::answered);
     CHECK_EQUAL(57, at.allocated());
     at.now = at.now + seconds(10);
-    back.book.note_shortage_elsewhere(budget_name);
+    back.book.note_shortage_elsewhere(budget_name, at.now);
     at.refill(back, demand_driven{minutes(5), 1});
     CHECK(back.book.is_stopped());
     CHECK(back.book.reserve(budget_name, 1, at.now).code == result_code::stopped);
