--- a/modules/budget/transfer_book.cpp
+++ b/modules/budget/transfer_book.cpp
@@ -93,7 +93,9 @@
         }
         totals.push_back(item);
         // The recovery counts every token sent as received, so none may be taken back later.
-        book_.resolve_sent(budget, gone, item.sent);
+        if (item.sent > 0) {
+            book_.resolve_sent(budget, gone, item.sent);
+        }
     }
     std::erase_if(pending_, [gone](const auto& item) { return item.first.first == gone; });
     return totals;
