Answer a doubt with the newer heartbeat; make the tables cheaper

With 1 % of messages lost, 2 % doubled and 2 % late, a fleet of 450 showed 3 false suspicions: a member that knew a newer heartbeat dropped a doubt without telling its sender.

--- a/apps/gossip_measure/main.cpp
+++ b/apps/gossip_measure/main.cpp
@@ -16,6 +16,9 @@
 DEFINE_int32(steady_s, 120, "simulated seconds over which traffic and suspicions are counted");
 DEFINE_double(lost, 0.01, "part of the messages that are lost");
 DEFINE_double(late, 0.01, "part of the messages that arrive 2.5 s late");
+DEFINE_int32(interval_ms, 1000, "time between two rounds");
+DEFINE_int32(fan_out, 2, "peers asked in each round");
+DEFINE_int32(heartbeats, 16, "heartbeats in one digest");
 DEFINE_bool(json, false, "print JSON instead of a table");
 
 namespace
@@ -133,6 +136,9 @@
         options.late = FLAGS_late;
         options.seed = static_cast<std::uint32_t>(run);
         options.size_of = wire_bytes;
+        options.settings.interval = time_ms{FLAGS_interval_ms};
+        options.settings.fan_out = static_cast<std::size_t>(FLAGS_fan_out);
+        options.settings.max_heartbeats = static_cast<std::size_t>(FLAGS_heartbeats);
         fake_network network{options};
         const auto live = static_cast<int>(size);
         worst(kept.join_ms, network.run_until([&] { return network.all_know(live); }, minutes(10)));
@@ -171,6 +177,9 @@
     settings_check check;
     check.range("runs", FLAGS_runs, 1, 100);
     check.range("steady_s", FLAGS_steady_s, 1, 3600);
+    check.range("interval_ms", FLAGS_interval_ms, 100, 60'000);
+    check.range("fan_out", FLAGS_fan_out, 1, 16);
+    check.range("heartbeats", FLAGS_heartbeats, 1, 1000);
     check.exit_on_error();
     auto rows = nlohmann::json::array();
     if (!FLAGS_json) {
--- a/modules/membership/member_table.cpp
+++ b/modules/membership/member_table.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <set>
+#include <tuple>
 
 namespace jujubevalve
 {
@@ -31,6 +33,7 @@
     , own_detail_sends_left_{rumour_sends()}
     , hints_{settings}
 {
+    update_timeouts();
 }
 
 void member_table::set_draining()
@@ -57,29 +60,24 @@
     return 4 + static_cast<int>(2 * std::log2(static_cast<double>(members_.size() + 1)));
 }
 
-time_ms member_table::suspicion_timeout() const
+void member_table::update_timeouts()
 {
     const auto size = static_cast<double>(members_.size() + 1);
-    const auto per_digest = static_cast<double>(settings_.max_heartbeats + 1);
-    const double digests = size / per_digest;
-    const double rounds = std::log2(size) * std::max(0.0, digests);
-    const auto grown = static_cast<double>(interval().count()) * rounds;
-    return std::max(settings_.suspect_after, time_ms{static_cast<std::int64_t>(grown)});
-}
-
-time_ms member_table::refutation_timeout() const
-{
+    const auto interval = static_cast<double>(settings_.interval.count());
+    const double spread = interval * std::log2(size);
+    // A digest renews one of size / (max_heartbeats + 1) entries.
+    const double digests = size / static_cast<double>(settings_.max_heartbeats + 1);
+    const auto renewal = time_ms{static_cast<std::int64_t>(spread * digests)};
+    suspicion_timeout_ = std::max(settings_.suspect_after, renewal);
     // A doubt has to reach its subject and the answer has to come back; each way takes less than
-    // half of log2(n) rounds (docs/membership.md).
-    const auto rounds = std::log2(static_cast<double>(members_.size() + 1));
-    const auto spread = static_cast<double>(interval().count()) * rounds;
-    return settings_.suspect_after + time_ms{static_cast<std::int64_t>(spread)};
+    // half of log2(size) rounds (docs/membership.md).
+    refutation_timeout_ = settings_.suspect_after + time_ms{static_cast<std::int64_t>(spread)};
 }
 
 bool member_table::is_suspected(const known_member& member, time_ms now) const
 {
-    return member.last_progress + suspicion_timeout() < now ||
-           (member.doubted && member.doubted_at + refutation_timeout() < now);
+    return member.last_progress + suspicion_timeout_ < now ||
+           (member.doubted && member.doubted_at + refutation_timeout_ < now);
 }
 
 void member_table::note_exchange(std::string_view peer_address, bool succeeded, time_ms now)
@@ -121,15 +119,15 @@
     }
 }
 
-std::vector<std::string> member_table::failed_once(time_ms now) const
+std::vector<const std::string*> member_table::failed_once(time_ms now) const
 {
-    std::vector<std::string> addresses;
+    std::vector<const std::string*> addresses;
     for (const auto& [id, member] : members_) {
-        if (member.failed_exchanges == 1 && !is_suspected(member, now)) {
-            addresses.push_back(member.entry.peer_address);
+        if (member.failed_exchanges == 1 && !is_suspected(member, now) &&
+            addresses.size() < settings_.fan_out) {
+            addresses.push_back(&member.entry.peer_address);
         }
     }
-    addresses.resize(std::min(addresses.size(), settings_.fan_out));
     return addresses;
 }
 
@@ -137,25 +135,29 @@
 {
     ++own_.heartbeat;
     forget_dead(now);
-    std::vector<std::string> live;
-    std::vector<std::string> others;
+    std::vector<const std::string*> live;
+    std::vector<const std::string*> others;
     for (const auto& [id, member] : members_) {
-        (is_suspected(member, now) ? others : live).push_back(member.entry.peer_address);
+        (is_suspected(member, now) ? others : live).push_back(&member.entry.peer_address);
     }
     for (const auto& seed : seeds_) {
-        const bool listed = std::find(live.begin(), live.end(), seed) != live.end();
+        const bool listed = std::any_of(live.begin(), live.end(),
+                                        [&](const auto* address) { return *address == seed; });
         if (seed != own_.peer_address && !listed) {
-            others.push_back(seed);
+            others.push_back(&seed);
         }
     }
-    std::shuffle(live.begin(), live.end(), random_);
-    const auto again = failed_once(now);
-    live.insert(live.begin(), again.begin(), again.end());
-    live.resize(std::min(live.size(), settings_.fan_out));
-    if (!others.empty() && (live.empty() || random_() % heal_one_in == 0)) {
-        live.push_back(any_of(others, random_));
+    auto chosen = failed_once(now);
+    std::sample(live.begin(), live.end(), std::back_inserter(chosen),
+                settings_.fan_out - chosen.size(), random_);
+    std::vector<std::string> addresses;
+    for (const auto* address : chosen) {
+        addresses.push_back(*address);
     }
-    return live;
+    if (!others.empty() && (addresses.empty() || random_() % heal_one_in == 0)) {
+        addresses.push_back(*any_of(others, random_));
+    }
+    return addresses;
 }
 
 gossip_digest member_table::make_digest(time_ms now)
@@ -165,10 +167,22 @@
     digest.own = {own_id_, own_.heartbeat, own_.state};
     digest.config_term = own_.config_term;
     digest.config_version = own_.config_version;
-    digest.known = live_instances(now);
-    add_heartbeats(digest, now);
-    add_doubts(digest);
-    add_details(digest);
+    std::vector<named_member> live;
+    std::vector<known_member*> news;
+    for (auto& [id, member] : members_) {
+        if (!is_suspected(member, now)) {
+            live.emplace_back(id, &member);
+        }
+        if (member.doubted && member.doubt_sends_left > 0) {
+            add_doubt(digest, id, member);
+        }
+        if (member.detail_sends_left > 0) {
+            news.push_back(&member);
+        }
+    }
+    digest.known = static_cast<std::int64_t>(live.size()) + 1;
+    add_heartbeats(digest, std::move(live));
+    add_details(digest, std::move(news));
     add_wanted(digest);
     // Where every digest holds every entry there is room for hints that nobody has asked for.
     const bool small = members_.size() <= settings_.max_heartbeats;
@@ -176,54 +190,41 @@
     return digest;
 }
 
-void member_table::add_heartbeats(gossip_digest& digest, time_ms now)
+void member_table::add_heartbeats(gossip_digest& digest, std::vector<named_member> chosen)
 {
-    std::vector<known_member*> chosen;
-    for (auto& [id, member] : members_) {
-        if (!is_suspected(member, now)) {
-            chosen.push_back(&member);
-        }
-    }
     const auto count = std::min(chosen.size(), settings_.max_heartbeats);
     const auto middle = chosen.begin() + static_cast<std::ptrdiff_t>(count);
-    std::shuffle(chosen.begin(), chosen.end(), random_);
-    std::partial_sort(chosen.begin(), middle, chosen.end(), [](const auto* a, const auto* b) {
-        const bool changed_a = a->sends_left > 0;
-        const bool changed_b = b->sends_left > 0;
-        return changed_a != changed_b ? changed_a : a->last_sent < b->last_sent;
-    });
+    // Changed entries first, then those that were not sent for the longest time. The salt gives
+    // each digest another order among equals.
+    const auto salt = static_cast<member_id>(random_());
+    const auto rank = [salt](const auto& item) {
+        const auto& member = *item.second;
+        return std::tuple{member.sends_left == 0, member.last_sent, item.first ^ salt};
+    };
+    std::partial_sort(chosen.begin(), middle, chosen.end(),
+                      [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
     for (auto it = chosen.begin(); it != middle; ++it) {
-        auto& member = **it;
+        auto& member = *it->second;
         member.sends_left = std::max(0, member.sends_left - 1);
         member.last_sent = digests_made_;
-        digest.heartbeats.push_back(
-            {id_of(member.entry.incarnation), member.entry.heartbeat, member.entry.state});
+        digest.heartbeats.push_back({it->first, member.entry.heartbeat, member.entry.state});
     }
 }
 
-void member_table::add_doubts(gossip_digest& digest)
+void member_table::add_doubt(gossip_digest& digest, member_id id, known_member& member) const
 {
-    for (auto& [id, member] : members_) {
-        if (member.doubted && member.doubt_sends_left > 0 &&
-            digest.doubts.size() < settings_.max_doubts) {
-            --member.doubt_sends_left;
-            digest.doubts.push_back({id, member.entry.heartbeat, member.entry.state});
-        }
+    if (digest.doubts.size() < settings_.max_doubts) {
+        --member.doubt_sends_left;
+        digest.doubts.push_back({id, member.entry.heartbeat, member.entry.state});
     }
 }
 
-void member_table::add_details(gossip_digest& digest)
+void member_table::add_details(gossip_digest& digest, std::vector<known_member*> news)
 {
     if (own_detail_sends_left_ > 0) {
         --own_detail_sends_left_;
         digest.details.push_back(own_);
     }
-    std::vector<known_member*> news;
-    for (auto& [id, member] : members_) {
-        if (member.detail_sends_left > 0) {
-            news.push_back(&member);
-        }
-    }
     const auto room = settings_.max_details - digest.details.size();
     const auto count = std::min(news.size(), room);
     const auto middle = news.begin() + static_cast<std::ptrdiff_t>(count);
@@ -252,6 +253,7 @@
 {
     merge(request, now);
     auto digest = make_digest(now);
+    add_refutations(digest, request);
     add_wanted_details(digest, request);
     // Somebody who knows clearly fewer instances has just started or was cut off.
     if (request.known * 10 < digest.known * 9) {
@@ -260,6 +262,18 @@
     return digest;
 }
 
+// Tells the sender of a doubt about the newer heartbeat that is known here.
+void member_table::add_refutations(gossip_digest& digest, const gossip_digest& request) const
+{
+    for (const auto& doubt : request.doubts) {
+        const auto found = members_.find(doubt.id);
+        if (found != members_.end() && found->second.entry.heartbeat > doubt.heartbeat) {
+            const auto& entry = found->second.entry;
+            digest.heartbeats.push_back({doubt.id, entry.heartbeat, entry.state});
+        }
+    }
+}
+
 void member_table::add_detail(gossip_digest& digest, const member_entry& entry) const
 {
     auto& held = digest.details;
@@ -428,6 +442,7 @@
     members_.erase(id);
     unknown_.erase(id);
     hints_.forget(id);
+    update_timeouts();
     if (superseded_.size() >= max_superseded) {
         superseded_.erase(superseded_.begin());
     }
@@ -449,6 +464,7 @@
     }
     unknown_.erase(id);
     members_.emplace(id, std::move(member));
+    update_timeouts();
 }
 
 void member_table::note_wanted(const std::vector<member_id>& wanted)
@@ -465,7 +481,7 @@
 
 void member_table::forget_dead(time_ms now)
 {
-    const auto limit = std::max(settings_.forget_after, suspicion_timeout());
+    const auto limit = std::max(settings_.forget_after, suspicion_timeout_);
     std::erase_if(members_, [&](const auto& member) {
         const bool dead = member.second.last_progress + limit < now;
         if (dead) {
@@ -473,6 +489,7 @@
         }
         return dead;
     });
+    update_timeouts();
     std::erase_if(unknown_, [now](const auto& unknown) {
         return unknown.second.heard_at + unknown_lifetime < now;
     });
--- a/modules/membership/member_table.h
+++ b/modules/membership/member_table.h
@@ -78,10 +78,10 @@
     [[nodiscard]] gossip_digest answer(const gossip_digest& request, time_ms now);
 
     /// How long an entry may go without progress before it is suspected, at the current size.
-    [[nodiscard]] time_ms suspicion_timeout() const;
+    [[nodiscard]] time_ms suspicion_timeout() const { return suspicion_timeout_; }
 
     /// How long a doubted entry has to refute the doubt before it is suspected.
-    [[nodiscard]] time_ms refutation_timeout() const;
+    [[nodiscard]] time_ms refutation_timeout() const { return refutation_timeout_; }
 
     /// Other incarnations in the order of their names; superseded ones are not in the table.
     [[nodiscard]] std::vector<member_view> members(time_ms now) const;
@@ -120,6 +120,7 @@
         time_ms doubted_at{};
         int doubt_sends_left{0};
     };
+    using named_member = std::pair<member_id, known_member*>;
     struct unknown_member {
         heartbeat_item item;
         time_ms heard_at{};
@@ -130,12 +131,14 @@
 
     [[nodiscard]] bool is_suspected(const known_member& member, time_ms now) const;
     [[nodiscard]] int rumour_sends() const;
+    void update_timeouts();
     void merge_heartbeat(const heartbeat_item& item, time_ms now);
+    void add_refutations(gossip_digest& digest, const gossip_digest& request) const;
     void merge_doubt(const heartbeat_item& doubt, time_ms now);
     void doubt(known_member& member, time_ms now);
-    void add_doubts(gossip_digest& digest);
+    void add_doubt(gossip_digest& digest, member_id id, known_member& member) const;
     void add_missing_details(gossip_digest& digest, const gossip_digest& request, time_ms now);
-    std::vector<std::string> failed_once(time_ms now) const;
+    [[nodiscard]] std::vector<const std::string*> failed_once(time_ms now) const;
     void merge_unknown(const heartbeat_item& item, time_ms now);
     void merge_detail(const member_entry& detail, time_ms now);
     void outlive(const member_entry& older);
@@ -143,8 +146,8 @@
     bool yields_to_present(const member_entry& detail);
     void supersede(std::string_view older, std::int64_t started_ms);
     void note_wanted(const std::vector<member_id>& wanted);
-    void add_heartbeats(gossip_digest& digest, time_ms now);
-    void add_details(gossip_digest& digest);
+    void add_heartbeats(gossip_digest& digest, std::vector<named_member> chosen);
+    void add_details(gossip_digest& digest, std::vector<known_member*> news);
     void add_wanted(gossip_digest& digest);
     void add_detail(gossip_digest& digest, const member_entry& entry) const;
     void add_wanted_details(gossip_digest& digest, const gossip_digest& request) const;
@@ -158,6 +161,8 @@
     std::map<member_id, known_member> members_;
     std::map<member_id, unknown_member> unknown_; ///< heard of without details
     std::map<member_id, successor> superseded_;
+    time_ms suspicion_timeout_;  ///< for the present size
+    time_ms refutation_timeout_; ///< for the present size
     int own_detail_sends_left_{0};
     std::int64_t digests_made_{0};
     budget_hints hints_;
