Close grants for plain services in full; count marked numbers as used; no certain "not run" on kept connections

Cause: recovery asked plain services to cancel keys, which they cannot, so an incarnation that had used one stayed in recovering for ever. A number that was cancelled before it reached the engine counted as unused and could end the search early. curl resends a POST on a kept connection, so a refused second connection was reported as not delivered although the first send may have run. Ruled out: asking the service (no such call), reclaiming by time (unsafe). The three new tests fail without the changes.

--- a/apps/ctl/fleet_rows.cpp
+++ b/apps/ctl/fleet_rows.cpp
@@ -54,7 +54,8 @@
                           object.at("granted").get<token_count>(),
                           object.value("sent", totals{}),
                           object.value("received", totals{}),
-                          object.value("closed", false)};
+                          object.value("closed", false),
+                          object.value("charged_in_full", false)};
     });
 }
 
--- a/apps/ctl/fleet_rows.h
+++ b/apps/ctl/fleet_rows.h
@@ -20,6 +20,7 @@
     std::map<std::string, token_count> sent;
     std::map<std::string, token_count> received;
     bool closed{false};
+    bool charged_in_full{false};
 
     /// What the incarnation may spend in all: granted - sent + received.
     [[nodiscard]] token_count entitled() const;
--- a/apps/ctl/handover_check.cpp
+++ b/apps/ctl/handover_check.cpp
@@ -301,7 +301,9 @@
             for (const auto& [budget, spent] : totals) {
                 const auto found = by_budget.find({incarnation, budget});
                 const auto entitled = found == by_budget.end() ? 0 : found->second->entitled();
-                const bool closed = found != by_budget.end() && found->second->closed;
+                // What was charged in full may have been spent only in part.
+                const bool closed = found != by_budget.end() && found->second->closed &&
+                                    !found->second->charged_in_full;
                 if (spent > entitled || (closed && spent != entitled)) {
                     disagree(
                         "budget \"{}\": incarnation \"{}\" spent {} tokens, its {} grant is {}",
--- a/modules/budget/grant_row.cpp
+++ b/modules/budget/grant_row.cpp
@@ -51,12 +51,15 @@
 
 std::string to_text(const grant_row& row)
 {
-    return nlohmann::json{{"granted", row.granted},
+    nlohmann::json object{{"granted", row.granted},
                           {"seq", row.seq},
                           {"sent", totals_object(row.sent)},
                           {"received", totals_object(row.received)},
-                          {"closed", row.closed}}
-        .dump();
+                          {"closed", row.closed}};
+    if (row.charged_in_full) {
+        object["charged_in_full"] = true;
+    }
+    return object.dump();
 }
 
 result<grant_row> parse_grant_row(std::string_view text)
@@ -72,6 +75,8 @@
         row.sent = read_totals(object, "sent");
         row.received = read_totals(object, "received");
         row.closed = json_fields::truth(object, "closed");
+        row.charged_in_full =
+            object.contains("charged_in_full") && json_fields::truth(object, "charged_in_full");
         return row;
     });
 }
--- a/modules/budget/grant_row.h
+++ b/modules/budget/grant_row.h
@@ -28,6 +28,7 @@
     incarnation_totals sent;     ///< to other incarnations, as credited by them
     incarnation_totals received; ///< from other incarnations
     bool closed{false};          ///< no spend is possible under it any more
+    bool charged_in_full{false}; ///< closed without proof of the spend; all of it counts as spent
 
     friend bool operator==(const grant_row&, const grant_row&) = default;
 };
--- a/modules/http/http_client.cpp
+++ b/modules/http/http_client.cpp
@@ -123,8 +123,13 @@
     }
 }
 
-http_error classify(CURLcode code, CURL* handle)
+// curl sends a request a second time if a kept connection closes before the first byte of the
+// answer; a refusal of the second connection then says nothing about the first.
+http_error classify(CURLcode code, CURL* handle, bool kept_connection)
 {
+    if (kept_connection) {
+        return http_error::answer_lost;
+    }
     if (code == CURLE_COULDNT_CONNECT || code == CURLE_URL_MALFORMAT ||
         code == CURLE_UNSUPPORTED_PROTOCOL) {
         return http_error::not_delivered;
@@ -143,11 +148,12 @@
 class http_client::impl
 {
 public:
-    handle_ptr take()
+    // A handle that may hold a kept connection, or null.
+    handle_ptr take_idle()
     {
         const std::lock_guard lock{mutex_};
         if (idle_.empty()) {
-            return handle_ptr{curl_easy_init()};
+            return nullptr;
         }
         auto handle = std::move(idle_.back());
         idle_.pop_back();
@@ -177,14 +183,18 @@
 http_reply http_client::perform(const http_call& call)
 {
     http_reply reply;
-    auto handle = impl_->take();
+    auto handle = impl_->take_idle();
+    const bool kept_connection = handle != nullptr && !call.send_once;
+    if (handle == nullptr) {
+        handle.reset(curl_easy_init());
+    }
     exchange running{call, reply, handle.get()};
     const auto headers = make_headers(call.headers);
     set_options(handle.get(), running, headers.get());
     const auto code = curl_easy_perform(handle.get());
     if (code != CURLE_OK) {
         // The handle's connection is in an unknown state; the next call starts a new one.
-        reply.error = classify(code, handle.get());
+        reply.error = classify(code, handle.get(), kept_connection);
         return reply;
     }
     long status = 0;
--- a/modules/http/http_client.h
+++ b/modules/http/http_client.h
@@ -10,6 +10,7 @@
 {
 
 /// Why an exchange gave no response. `not_delivered` is certain: no byte of the request was sent.
+/// It is only reported for new connections.
 enum class http_error { not_delivered, answer_lost };
 
 /// A response, or the reason why there is none.
--- a/modules/http/tests/http_tests.cpp
+++ b/modules/http/tests/http_tests.cpp
@@ -69,6 +69,21 @@
     CHECK_EQUAL(413, echo.call("POST", "/", std::string(17, 'x')).status);
 }
 
+// Guards against "not run" after curl has sent a request on a kept connection, lost the answer and
+// found the server gone when it sent the request again (G4).
+TEST(http, a_failure_after_a_kept_connection_is_never_not_delivered)
+{
+    auto echo = std::make_unique<echo_server>();
+    http_client client;
+    const auto url = "http://" + echo->server.address() + "/";
+    CHECK(client.perform({"GET", url}).ok());
+    echo.reset();
+    CHECK(client.perform({"POST", url, {}, "x"}).error == http_error::answer_lost);
+    http_call once{"POST", url, {}, "x"};
+    once.send_once = true;
+    CHECK(client.perform(once).error == http_error::not_delivered);
+}
+
 // Guards against "outcome unknown" where it is certain that nothing was sent (G4).
 TEST(http, a_refused_connection_is_not_delivered)
 {
--- a/modules/recovery/grant_closing.cpp
+++ b/modules/recovery/grant_closing.cpp
@@ -133,8 +133,10 @@
     auto allocated = ledger->allocated;
     for (const auto& name : open) {
         auto& grant = by_name.at(name);
-        const auto kept =
+        const auto spent =
             input.spent.at(name) + sum_of(grant.row.sent) - sum_of(grant.row.received);
+        const auto kept = input.charged_in_full ? std::max(spent, grant.row.granted) : spent;
+        grant.row.charged_in_full = input.charged_in_full;
         allocated += kept - grant.row.granted;
         grant.row.granted = kept;
         grant.row.closed = true;
--- a/modules/recovery/grant_closing.h
+++ b/modules/recovery/grant_closing.h
@@ -28,6 +28,7 @@
     std::map<std::pair<std::string, std::string>, told_totals> told;
     std::vector<table_row> grants; ///< all grant rows of the budget
     table_row ledger;
+    bool charged_in_full{false}; ///< `spent` is only a lower bound; the whole grants count as spent
 };
 
 /// Adds the closing of all open grants of the gone incarnations under one budget to a transaction.
--- a/modules/recovery/recovery_command.h
+++ b/modules/recovery/recovery_command.h
@@ -81,6 +81,8 @@
     bool known{false};
     token_count used{0}; ///< final usage of a known key
     bill_entry bill;     ///< account, caller's key and budget of a known key; tokens to bill
+    bool marked_before{
+        false}; ///< unknown, but an earlier cancel has marked it: the number was used
 
     friend bool operator==(const cancel_answer&, const cancel_answer&) = default;
 };
--- a/modules/recovery/recovery_plan.cpp
+++ b/modules/recovery/recovery_plan.cpp
@@ -414,10 +414,14 @@
             search_of(server);
         }
         for (const auto& [server, next] : account.next) {
-            search_of(server);
+            if (!settings_.plain_servers.contains(server)) {
+                search_of(server);
+            }
         }
         for (const auto& request : account.open) {
-            search_of(request.server).add_open(request.n, request.budget);
+            if (!settings_.plain_servers.contains(request.server)) {
+                search_of(request.server).add_open(request.n, request.budget);
+            }
         }
     }
 
@@ -719,6 +723,7 @@
         }
         input.grants = chunk_.grants[budget];
         input.ledger = row_of(chunk_.rows, ledger_key(budget));
+        input.charged_in_full = settings_.charged_in_full.contains(budget);
         return input;
     }
 
--- a/modules/recovery/recovery_plan.h
+++ b/modules/recovery/recovery_plan.h
@@ -35,6 +35,10 @@
     std::map<std::string, std::set<std::string>> servers;
     /// Every budget of the configuration.
     std::set<std::string> budgets;
+    /// Plain services cannot tell which calls they ran: no number is asked for there, and the
+    /// budgets that they serve are closed as spent in full.
+    std::set<std::string> plain_servers;
+    std::set<std::string> charged_in_full;
     std::int64_t window{64};     ///< most request numbers outstanding to one server (W)
     std::size_t read_batch{256}; ///< rows in one read
     std::size_t close_batch{32}; ///< budgets closed in one transaction; 1 after a conflict
--- a/modules/recovery/request_search.cpp
+++ b/modules/recovery/request_search.cpp
@@ -58,6 +58,9 @@
         found_[n] = request;
         end_ = std::max(end_, n + 1 + window_);
     }
+    if (answer.marked_before) {
+        end_ = std::max(end_, n + 1 + window_);
+    }
     asked->second = true;
     return success();
 }
--- a/modules/recovery/tests/recovery_tests.cpp
+++ b/modules/recovery/tests/recovery_tests.cpp
@@ -240,6 +240,48 @@
 }
 } // namespace
 
+// Guards against giving back tokens that calls of a plain service may have consumed after the last
+// segment, and against a recovery that waits for ever for a server that cannot tell.
+TEST(recovery, charges_grants_for_plain_services_in_full)
+{
+    world at{2};
+    let_first_die(at);
+    const auto held = at.grant("router-0").granted;
+    recovery_settings settings;
+    settings.term = test_term;
+    settings.plain_servers = {server_name};
+    settings.charged_in_full = {budget_name};
+    settings.budgets = {budget_name};
+    recovery_plan plan{{"router-0"}, settings};
+    at.run(plan);
+    CHECK(plan.done());
+    CHECK_EQUAL(held, at.grant("router-0").granted);
+    CHECK(at.grant("router-0").closed);
+    CHECK(at.grant("router-0").charged_in_full);
+    CHECK(at.servers["router-0"].refused.empty());
+}
+
+// Guards against a search that ends before a request that ran, because the numbers before it were
+// used but cancelled before they reached the server.
+TEST(recovery, marked_numbers_do_not_end_the_search)
+{
+    world at{2};
+    let_first_die(at);
+    auto& server = at.servers["router-0"];
+    const auto last = at.next["router-0"];
+    for (std::int64_t n = last; n < last + 10; ++n) {
+        server.ran[n] = cancel_answer{false, 0, {}, true};
+    }
+    at.next["router-0"] = last + 10;
+    at.nodes[0]->alive = true;
+    at.request(*at.nodes[0], 10, 9, false);
+    at.nodes[0]->alive = false;
+    auto plan = at.recover({"router-0"});
+    at.run(plan);
+    CHECK(plan.done());
+    CHECK_EQUAL(66, at.grant("router-0").granted);
+}
+
 // Guards against a close that counts reservations as spend, misses requests after the last
 // segment, or leaves bill entries out.
 TEST(recovery, closes_at_the_exact_spend_and_completes_the_bill)
--- a/modules/router/recovery_service.cpp
+++ b/modules/router/recovery_service.cpp
@@ -121,12 +121,21 @@
 {
     recovery_settings result;
     result.term = settings_.term;
+    result.at_ms = wall_clock_ms{}.now().count();
     result.window = sequence_window;
     const auto config = config_.snapshot();
     for (const auto& [name, row] : config->pools()) {
         result.budgets.insert(row.budget);
+        const bool plain = row.kind == service_kind::plain;
+        if (plain) {
+            result.charged_in_full.insert(row.budget);
+        }
         for (const auto& server : config->servers_of(row)) {
-            result.servers[server.name].insert(row.budget);
+            if (plain) {
+                result.plain_servers.insert(server.name);
+            } else {
+                result.servers[server.name].insert(row.budget);
+            }
         }
     }
     return result;
@@ -178,6 +187,7 @@
     }
     cancel_answer result;
     result.known = answer->known;
+    result.marked_before = answer->marked_before;
     const auto metadata = nlohmann::json::parse(answer->metadata, nullptr, false);
     if (result.known && metadata.is_object()) {
         const auto reserved = metadata.value("reserved", token_count{0});
