--- a/modules/router/membership_service.cpp
+++ b/modules/router/membership_service.cpp
@@ -58,11 +58,13 @@
     if (!reply) {
         return;
     }
+    const auto digest = to_digest(*reply);
+    tell_sought(digest);
     std::optional<config_source> newer;
     std::function<void(const config_source&)> fetch;
     {
         const std::lock_guard lock{mutex_};
-        table_.merge(to_digest(*reply), clock_.now());
+        table_.merge(digest, clock_.now());
         newer = table_.newer_config(clock_.now());
         fetch = fetch_;
     }
@@ -71,10 +73,24 @@
     }
 }
 
+void membership_service::tell_sought(const gossip_digest& digest)
+{
+    std::function<void(const std::vector<std::string>&)> note;
+    {
+        const std::lock_guard lock{mutex_};
+        note = note_sought_;
+    }
+    if (note && !digest.sought.empty()) {
+        note(digest.sought);
+    }
+}
+
 wire::gossip membership_service::answer(const wire::gossip& request)
 {
+    const auto digest = to_digest(request);
+    tell_sought(digest);
     const std::lock_guard lock{mutex_};
-    return to_message(table_.answer(to_digest(request), clock_.now()));
+    return to_message(table_.answer(digest, clock_.now()));
 }
 
 void membership_service::stop()
@@ -82,6 +98,7 @@
     {
         const std::lock_guard lock{mutex_};
         fetch_ = nullptr;
+        note_sought_ = nullptr;
     }
     exchanges_.wait_idle(minutes(1));
 }
--- a/modules/router/membership_service.h
+++ b/modules/router/membership_service.h
@@ -35,7 +35,13 @@
         fetch_ = std::move(fetch);
     }
 
-    /// Stops further use of `on_newer_config` and waits for exchanges that are under way.
+    /// Called with budgets of which another incarnation has run short.
+    void on_sought(std::function<void(const std::vector<std::string>&)> note)
+    {
+        note_sought_ = std::move(note);
+    }
+
+    /// Stops further use of both functions and waits for exchanges that are under way.
     void stop();
 
     void set_draining();
@@ -58,6 +64,7 @@
 
 private:
     void exchange(const std::string& address);
+    void tell_sought(const gossip_digest& digest);
 
     peer_client& peers_;
     time_ms timeout_;
@@ -66,6 +73,7 @@
     member_table table_;
     std::uint64_t rotation_{0};
     std::function<void(const config_source&)> fetch_;
+    std::function<void(const std::vector<std::string>&)> note_sought_;
     task_group exchanges_;
 };
 
--- a/modules/router/router.cpp
+++ b/modules/router/router.cpp
@@ -106,6 +106,13 @@
         , api_{context_, chats_, calls_}
     {
         members_.on_newer_config([this](const config_source& source) { config_.fetch(source); });
+        members_.on_sought([this](const std::vector<std::string>& sought) {
+            budgets_.with_book([&](grant_book& book) {
+                for (const auto& budget : sought) {
+                    book.note_shortage_elsewhere(budget, clock_.now());
+                }
+            });
+        });
         serving_ = true;
         start_up();
         start_tasks();
