--- a/modules/budget/demand_driven.cpp
+++ b/modules/budget/demand_driven.cpp
@@ -29,8 +29,10 @@
     if (!is_short) {
         return -surplus(facts);
     }
-    const auto least = facts.shortage > 0 ? facts.request : 1;
-    // Less than one request cannot be used here, but perhaps by an instance with smaller ones.
+    // Less than one request cannot be used here, but perhaps by an instance with smaller ones. Taken
+    // without need, it would be returned at once and taken again, in a transaction every few ms.
+    const auto least =
+        facts.shortage > 0 ? std::min(facts.shortage, facts.request) : facts.request;
     if (facts.free <= 0 || facts.available + facts.free < least) {
         return -surplus(facts);
     }
--- a/modules/experiment/sim_budget.cpp
+++ b/modules/experiment/sim_budget.cpp
@@ -3,6 +3,8 @@
 #include "experiment/world.h"
 
 #include <algorithm>
+#include <fmt/format.h>
+#include <iostream>
 #include <utility>
 
 namespace jujubevalve::experiment
@@ -285,6 +287,17 @@
         }
         return;
     }
+    if (all_.options.trace) {
+        for (const auto& change : planned->changes) {
+            const auto facts = book_.facts(change.budget, owner_.live_instances(), now);
+            std::cerr << fmt::format("{} {} grant {} to {} available {} reserved {} free {} after "
+                                     "{} shortage {} request {}\n",
+                                     now.count(), book_.incarnation(), change.budget,
+                                     change.granted - facts.granted, facts.available,
+                                     facts.reserved, facts.free, change.free_after,
+                                     facts.shortage, facts.request);
+        }
+    }
     all_.commit(owner_, planned->change, [this, batch, plan = *planned](const auto& outcome) {
         book_.apply(batch, plan, outcome, all_.events.now());
         refilling_ = outcome.outcome == commit_outcome::committed;
