--- a/modules/experiment/network.h
+++ b/modules/experiment/network.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/time_ms.h"
+
 #include <set>
 #include <string>
 #include <utility>
@@ -15,12 +17,16 @@
     void cut(const std::string& a, const std::string& b) { cut_.insert(ordered(a, b)); }
 
     /// Ends all partitions.
-    void heal()
+    void heal(time_ms now)
     {
+        healed_at_ = now;
         no_platform_.clear();
         cut_.clear();
     }
 
+    /// When the last partition ended.
+    [[nodiscard]] time_ms healed_at() const { return healed_at_; }
+
     [[nodiscard]] bool reaches_platform(const std::string& instance) const
     {
         return !no_platform_.contains(instance);
@@ -36,6 +42,7 @@
         return a < b ? std::pair{a, b} : std::pair{b, a};
     }
 
+    time_ms healed_at_{};
     std::set<std::string> no_platform_;
     std::set<std::pair<std::string, std::string>> cut_;
 };
--- a/modules/experiment/run_report.cpp
+++ b/modules/experiment/run_report.cpp
@@ -36,6 +36,7 @@
                                   {"stranded_share", stranded_share},
                                   {"stranded_after_recovery", stranded_after_recovery},
                                   {"closed_below_spend", closed_below_spend},
+                                  {"grant_writes", grant_writes},
                                   {"platform_writes", platform_writes},
                                   {"platform_reads", platform_reads},
                                   {"answered_unbilled", answered_unbilled},
--- a/modules/experiment/run_report.h
+++ b/modules/experiment/run_report.h
@@ -35,6 +35,7 @@
     double stranded_share{0};           ///< largest part of one budget that one death stranded
     token_count stranded_after_recovery{0};
     token_count closed_below_spend{0};  ///< grants closed below the true spend under them
+    std::int64_t grant_writes{0}; ///< transactions that change grants
     std::int64_t platform_writes{0};
     std::int64_t platform_reads{0};
 
--- a/modules/experiment/scenario.cpp
+++ b/modules/experiment/scenario.cpp
@@ -73,7 +73,7 @@
         }
         all.links.cut_platform(names[1]);
     });
-    all.events.at(to, [&all] { all.links.heal(); });
+    all.events.at(to, [&all] { all.links.heal(all.events.now()); });
 }
 
 void top_up(world& all, time_ms at)
--- a/modules/experiment/sim_budget.cpp
+++ b/modules/experiment/sim_budget.cpp
@@ -298,6 +298,7 @@
                                      facts.shortage, facts.request);
         }
     }
+    ++all_.truth.report().grant_writes;
     all_.commit(owner_, planned->change, [this, batch, plan = *planned](const auto& outcome) {
         book_.apply(batch, plan, outcome, all_.events.now());
         refilling_ = outcome.outcome == commit_outcome::committed;
--- a/modules/experiment/sim_recovery.cpp
+++ b/modules/experiment/sim_recovery.cpp
@@ -54,12 +54,31 @@
                                  now + time_ms{1});
 }
 
+// A process that answers on the address of a watched incarnation proves that that one is gone.
+void sim_recovery::ask_successors()
+{
+    for (const auto& name : watched_) {
+        const auto instance = instance_of(name);
+        if (instance == owner_.instance() || owner_.running_at(instance) == name) {
+            continue;
+        }
+        all_.call<std::string>(
+            owner_, instance, [](sim_router& peer) { return peer.incarnation(); },
+            [this, instance, asked = all_.events.now()](const auto& answer) {
+                if (answer) {
+                    evidence_.successor_answered(*answer, instance, instance, asked);
+                }
+            });
+    }
+}
+
 void sim_recovery::run()
 {
     if (working_) {
         return;
     }
     watch_rows();
+    ask_successors();
     const auto found = evidence_.gone(all_.events.now());
     std::set<std::string> gone{found.begin(), found.end()};
     if (gone.empty()) {
--- a/modules/experiment/sim_recovery.h
+++ b/modules/experiment/sim_recovery.h
@@ -27,6 +27,7 @@
 
 private:
     void watch_rows();
+    void ask_successors();
     void work();
     [[nodiscard]] recovery_settings make_settings() const;
     [[nodiscard]] recovery_answer carry_out(const read_rows& step);
--- a/modules/experiment/sim_router.cpp
+++ b/modules/experiment/sim_router.cpp
@@ -76,6 +76,7 @@
 
 void sim_router::start()
 {
+    started_ = all_.events.now();
     all_.list.add({instance_, instance_, domain_, instance_state::live});
     // Instances start at different moments, so that their timers do not coincide.
     const time_ms offset{static_cast<std::int64_t>(all_.random() % 1000)};
@@ -150,6 +151,12 @@
     peers_[instance].heard = all_.events.now();
 }
 
+std::string sim_router::running_at(const std::string& instance) const
+{
+    const auto found = peers_.find(instance);
+    return found == peers_.end() ? std::string{} : found->second.incarnation;
+}
+
 bool sim_router::is_suspected(const peer_view& peer) const
 {
     return all_.events.now() - peer.heard > suspect_after;
@@ -266,7 +273,9 @@
         const auto version = config_.version();
         if (config_.adopt(entry) == adopt_outcome::adopted) {
             const auto found = all_.applied_at.find(config_.version());
-            const auto since = found == all_.applied_at.end() ? all_.events.now() : found->second;
+            const auto applied = found == all_.applied_at.end() ? all_.events.now() : found->second;
+            // A partition's end and the start of this process make a version reachable.
+            const auto since = std::max({applied, all_.links.healed_at(), started_});
             if (all_.links.reaches_platform(instance_)) {
                 all_.truth.config_adopted(all_.events.now() - since);
             }
--- a/modules/experiment/sim_router.h
+++ b/modules/experiment/sim_router.h
@@ -73,6 +73,9 @@
     /// State of an incarnation, for key_home.
     [[nodiscard]] incarnation_info find(const std::string& incarnation) const;
 
+    /// The incarnation last heard of at an instance, or an empty text.
+    [[nodiscard]] std::string running_at(const std::string& instance) const;
+
     void hear(const std::string& instance, const peer_view& seen);
     [[nodiscard]] const std::map<std::string, instance_row>& rows() const { return rows_; }
     [[nodiscard]] const config_history& config() const { return config_; }
@@ -102,6 +105,7 @@
     std::string instance_;
     std::string incarnation_;
     std::string domain_;
+    time_ms started_{};
     bool alive_{true};
     bool paused_{false};
     bool draining_{false};
