--- a/modules/experiment/scenario.cpp
+++ b/modules/experiment/scenario.cpp
@@ -99,7 +99,8 @@
                 const auto skip = all.random() % base.pools().size();
                 all.events.after(delay, [&all, base, i, raise, skip] {
                     all.apply(fmt::format("operator-{}", i), base, [&](auto& pools) {
-                        auto& row = std::next(pools.begin(), static_cast<std::ptrdiff_t>(skip))->second;
+                        auto& row =
+                            std::next(pools.begin(), static_cast<std::ptrdiff_t>(skip))->second;
                         const auto step = row.limit_tokens / 100;
                         row.limit_tokens += raise ? step : -step;
                     });
@@ -189,8 +190,11 @@
 {
     return {
         {"steady", "no faults", minutes(20), with_rate(usual_rate), {}},
-        {"budget-exhaustion", "the budgets run out after three quarters of the time", minutes(20),
-         nearly_spent(minutes(15)), {}},
+        {"budget-exhaustion",
+         "the budgets run out after three quarters of the time",
+         minutes(20),
+         nearly_spent(minutes(15)),
+         {}},
         {"budget-exhaustion-with-outage",
          "as budget-exhaustion, with ten minutes of platform outage before the end of the budgets",
          minutes(20), nearly_spent(minutes(15)),
@@ -203,9 +207,16 @@
          [](world& all) { lose_answers(all, minutes(2), minutes(12)); }},
         {"router-kill", "one router is killed and restarted, another one killed and removed",
          minutes(12), with_rate(usual_rate), [](world& all) { kill_two(all, minutes(5)); }},
-        {"long-pause", "a router is paused for 20 minutes while the budgets run out", minutes(30),
-         nearly_spent(minutes(15)),
-         [](world& all) { pause(all, 0, minutes(3), minutes(23)); }},
+        {"long-pause",
+         "a router is paused for 20 minutes while the budgets run out; when it continues, it does "
+         "not reach the platform for 5 minutes",
+         minutes(30), nearly_spent(minutes(15)),
+         [](world& all) {
+             pause(all, 0, minutes(3), minutes(23));
+             all.events.at(minutes(23) - time_ms{1},
+                           [&all] { all.links.cut_platform(all.site.instance(0)); });
+             all.events.at(minutes(28), [&all] { all.links.heal(all.events.now()); });
+         }},
         {"partition-with-top-up", "one hour of partitions with a top-up in the middle", minutes(70),
          with_rate(usual_rate / 2),
          [](world& all) {
@@ -218,14 +229,15 @@
          with_rate(usual_rate),
          [](world& all) {
              race_operators(all, minutes(10));
-             all.events.at(minutes(4), [&all] {
-                 all.faults->set({.lost_answers = 0.2, .seed = all.seed});
-             });
+             all.events.at(minutes(4),
+                           [&all] { all.faults->set({.lost_answers = 0.2, .seed = all.seed}); });
              all.events.at(minutes(8), [&all] { all.faults->set({.seed = all.seed}); });
          }},
         {"silent-connections",
          "connections to backend servers go silent, others show answers to other requests",
-         minutes(10), with_silence(), {}},
+         minutes(10),
+         with_silence(),
+         {}},
         {"double-fault-kill-in-outage", "two routers are killed during a platform outage",
          minutes(20), with_rate(usual_rate),
          [](world& all) {
@@ -242,8 +254,7 @@
         {"server-leaving", "backend servers leave, by their own report and by the table",
          minutes(8), with_rate(usual_rate), leave_servers},
         {"non-idempotent-outage", "calls of the plain service during 30 minutes of outage",
-         minutes(40), mostly_plain(),
-         [](world& all) { set_outage(all, minutes(5), minutes(35)); }},
+         minutes(40), mostly_plain(), [](world& all) { set_outage(all, minutes(5), minutes(35)); }},
     };
 }
 
@@ -257,9 +268,9 @@
     }
     const auto& known = all_policies();
     if (std::find(known.begin(), known.end(), policy) == known.end()) {
-        return failure{result_code::invalid_setting,
-                       fmt::format("--policy is \"{}\", expected one of {}", policy,
-                                   fmt::join(known, ", "))};
+        return failure{
+            result_code::invalid_setting,
+            fmt::format("--policy is \"{}\", expected one of {}", policy, fmt::join(known, ", "))};
     }
     if (policy == "durable-intent") {
         options.issued_keys = false;
@@ -278,9 +289,10 @@
 
 const std::vector<std::string>& all_policies()
 {
-    static const std::vector<std::string> policies{
-        "demand-driven",   "demand-driven-no-transfers", "static-shares", "platform-per-request",
-        "reclaim-by-time", "issued-keys",                "durable-intent"};
+    static const std::vector<std::string> policies{"demand-driven",   "demand-driven-no-transfers",
+                                                   "static-shares",   "platform-per-request",
+                                                   "reclaim-by-time", "issued-keys",
+                                                   "durable-intent"};
     return policies;
 }
 
