Let reads of the list, rows and head grow apart with the number of routers

Every router reads the instance list, the instance rows and config/head itself, so the platform's reads grew with the fleet (two a second for each router). Beyond nine live instances the intervals now grow with their number; the head's stays at most 8 s, because a router that no peer reaches learns a version from it alone (target 19 s), the others at most 120 s. Ruled out: one reader that passes the list on (none is dedicated to control, and its death would have to be covered), longer fixed intervals (they would slow today's deployments).

--- a/modules/router/periodic_task.cpp
+++ b/modules/router/periodic_task.cpp
@@ -8,7 +8,12 @@
 {
 
 periodic_task::periodic_task(time_ms interval, std::function<void()> run)
-    : interval_{interval}
+    : periodic_task{[interval] { return interval; }, std::move(run)}
+{
+}
+
+periodic_task::periodic_task(std::function<time_ms()> interval, std::function<void()> run)
+    : interval_{std::move(interval)}
     , run_{std::move(run)}
     , thread_{[this] { loop(); }}
 {
@@ -51,10 +56,11 @@
 {
     // Without jitter, instances that start together would send their calls together for ever.
     static thread_local std::minstd_rand random{std::random_device{}()};
-    const auto tenth = std::max<std::int64_t>(1, interval_.count() / 10);
+    const auto interval = interval_();
+    const auto tenth = std::max<std::int64_t>(1, interval.count() / 10);
     const auto jitter = std::uniform_int_distribution<std::int64_t>{-tenth, tenth}(random);
     std::unique_lock lock{mutex_};
-    changed_.wait_for(lock, std::chrono::milliseconds{interval_.count() + jitter},
+    changed_.wait_for(lock, std::chrono::milliseconds{interval.count() + jitter},
                       [this] { return woken_ || stopping_; });
     woken_ = false;
     return !stopping_;
--- a/modules/router/periodic_task.h
+++ b/modules/router/periodic_task.h
@@ -16,6 +16,9 @@
 {
 public:
     periodic_task(time_ms interval, std::function<void()> run);
+
+    /// Asks for the interval before each wait.
+    periodic_task(std::function<time_ms()> interval, std::function<void()> run);
     ~periodic_task();
     periodic_task(const periodic_task&) = delete;
     periodic_task& operator=(const periodic_task&) = delete;
@@ -30,7 +33,7 @@
     void loop();
     bool wait_for_turn();
 
-    time_ms interval_;
+    std::function<time_ms()> interval_;
     std::function<void()> run_;
     std::mutex mutex_;
     std::condition_variable changed_;
--- a/modules/router/router.cpp
+++ b/modules/router/router.cpp
@@ -2,6 +2,7 @@
 
 #include "router/caller_api.h"
 #include "router/periodic_task.h"
+#include "router/poll_interval.h"
 #include "router/recovery_service.h"
 #include "router/transfer_service.h"
 
@@ -20,6 +21,10 @@
 constexpr time_ms directory_interval{2000};
 constexpr time_ms recovery_interval{2000};
 constexpr time_ms transfer_interval{1000};
+// A router that no peer reaches learns a version from the platform alone; target 19 s.
+constexpr time_ms longest_config_poll{8000};
+// Recovery waits for two reads of the list on top of the longest request time of five minutes.
+constexpr time_ms longest_directory_poll{120'000};
 constexpr std::size_t announced_budgets = 64;
 constexpr std::size_t incarnation_bytes = 8;
 
@@ -243,15 +248,18 @@
         settle_ = std::make_unique<periodic_task>(settings_.settle_interval,
                                                   [this] { budgets_.write_segment(); });
         gossip_ = std::make_unique<periodic_task>(settings_.gossip_interval, [this] { gossip(); });
-        config_poll_ = std::make_unique<periodic_task>(settings_.config_poll_interval,
-                                                       [this] { config_.poll_platform(); });
+        config_poll_ = std::make_unique<periodic_task>(
+            growing(settings_.config_poll_interval, longest_config_poll),
+            [this] { config_.poll_platform(); });
         load_ = std::make_unique<periodic_task>(settings_.load_interval,
                                                 [this] { pools_.poll_load(); });
         admission_ = std::make_unique<periodic_task>(
             admission_tick, [this] { pools_.tick(members_.live_instances()); });
-        list_ = std::make_unique<periodic_task>(settings_.instance_list_interval,
-                                                [this] { read_instance_list(); });
-        rows_ = std::make_unique<periodic_task>(directory_interval, [this] { directory_.poll(); });
+        list_ = std::make_unique<periodic_task>(
+            growing(settings_.instance_list_interval, longest_directory_poll),
+            [this] { read_instance_list(); });
+        rows_ = std::make_unique<periodic_task>(growing(directory_interval, longest_directory_poll),
+                                                [this] { directory_.poll(); });
         recover_ = std::make_unique<periodic_task>(recovery_interval, [this] { recovery_.run(); });
         transfer_ = std::make_unique<periodic_task>(transfer_interval, [this] {
             transfers_.repeat_unacknowledged();
@@ -259,6 +267,14 @@
         });
     }
 
+    // The interval of reads that would load the platform in proportion to the number of routers.
+    std::function<time_ms()> growing(time_ms base, time_ms longest)
+    {
+        return [this, base, longest] {
+            return poll_interval(base, members_.live_instances(), longest);
+        };
+    }
+
     // Grants are taken only once the instance row stands: recovery finds incarnations by it.
     void refill()
     {
--- /dev/null
+++ b/modules/router/tests/poll_interval_test.cpp
@@ -0,0 +1,37 @@
+#include "router/poll_interval.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace jujubevalve;
+
+TEST_GROUP(poll_interval){};
+
+// Guards against slower reads in today's deployments of up to nine instances.
+TEST(poll_interval, small_fleet_keeps_the_base)
+{
+    for (const auto live : {0, 1, 3, 9}) {
+        LONGS_EQUAL(2000, poll_interval(time_ms{2000}, live, time_ms{8000}).count());
+    }
+}
+
+// Guards against a load on the platform that grows with the number of routers.
+TEST(poll_interval, all_routers_together_read_as_often_as_nine)
+{
+    const auto longest = minutes(60);
+    for (const auto live : {9, 27, 81, 450}) {
+        const auto interval = poll_interval(time_ms{1000}, live, longest);
+        CHECK(live * 1000 / interval.count() <= 9);
+    }
+}
+
+// Guards against a router that learns of a configuration later than promised.
+TEST(poll_interval, longest_bounds_it)
+{
+    LONGS_EQUAL(8000, poll_interval(time_ms{2000}, 450, time_ms{8000}).count());
+}
+
+// Guards against an operator's longer interval being shortened by the bound.
+TEST(poll_interval, base_above_the_bound_stays)
+{
+    LONGS_EQUAL(10'000, poll_interval(time_ms{10'000}, 450, time_ms{8000}).count());
+}
