Adopt missed configuration versions together and outside the lock of requests

Each adopted log entry copied both tables under the mutex that every request takes for its route match. With 230,000 pools and routes a request waited for the copy, and a router that had missed versions copied the tables once for each. Ruled out for now: sharing of unchanged rows between versions, which changes every user of the tables.

--- a/apps/bench/config_bench.cpp
+++ b/apps/bench/config_bench.cpp
@@ -78,7 +78,7 @@
     std::int64_t added = 0;
     while (state.KeepRunning()) {
         const auto previous = history.current();
-        if (history.adopt(make_top_up(*previous)) != adopt_outcome::adopted) {
+        if (history.adopt(make_top_ups(*previous, 1)) != adopt_outcome::adopted) {
             state.SkipWithError("the version was not adopted");
             break;
         }
@@ -90,4 +90,33 @@
     state.counters["added_MB"] = static_cast<double>(added) / 1e6;
 }
 BENCHMARK(adopt_top_up)->Apply(sizes);
+
+// Adoption of 20 versions that were missed, one after the other or together.
+void adopt_backlog(benchmark::State& state)
+{
+    constexpr std::int64_t missed = 20;
+    config_history history{10};
+    table_size size;
+    size.pools = state.range(0);
+    size.routes = std::max(size.accounts, size.pools);
+    history.adopt(make_tables(size));
+    const auto entries = make_top_ups(*history.current(), missed);
+    while (state.KeepRunning()) {
+        if (state.range(1) != 0) {
+            history.adopt(entries);
+            continue;
+        }
+        for (const auto& entry : entries) {
+            history.adopt(entry);
+        }
+    }
+    if (history.version() != entries.back().version) {
+        state.SkipWithError("the versions were not adopted");
+    }
+}
+BENCHMARK(adopt_backlog)
+    ->ArgsProduct({{1000, 10'000, 100'000, 230'000}, {0, 1}})
+    ->ArgNames({"pools", "together"})
+    ->Iterations(1)
+    ->Unit(benchmark::kMillisecond);
 } // namespace
--- a/apps/bench/sample_tables.cpp
+++ b/apps/bench/sample_tables.cpp
@@ -80,16 +80,22 @@
     return {1, 1, std::move(routes), std::move(pools)};
 }
 
-config_log_entry make_top_up(const config_snapshot& tables)
+std::vector<config_log_entry> make_top_ups(const config_snapshot& tables, std::int64_t count)
 {
-    config_log_entry entry;
-    entry.version = tables.version() + 1;
-    entry.term = tables.term();
-    const auto& before = tables.pools().rbegin()->second;
-    auto after = before;
-    after.limit_tokens += 1;
-    entry.changes.pools.push_back({before.name, before, after});
-    return entry;
+    std::vector<config_log_entry> entries;
+    entries.reserve(static_cast<std::size_t>(count));
+    auto before = tables.pools().rbegin()->second;
+    for (std::int64_t i = 1; i <= count; ++i) {
+        auto after = before;
+        after.limit_tokens += 1;
+        config_log_entry entry;
+        entry.version = tables.version() + i;
+        entry.term = tables.term();
+        entry.changes.pools.push_back({before.name, before, after});
+        entries.push_back(std::move(entry));
+        before = std::move(after);
+    }
+    return entries;
 }
 
 } // namespace jujubevalve
--- a/apps/bench/sample_tables.h
+++ b/apps/bench/sample_tables.h
@@ -3,8 +3,8 @@
 #include "config/config.h"
 
 #include <cstdint>
-#include <memory>
 #include <string>
+#include <vector>
 
 namespace jujubevalve
 {
@@ -32,7 +32,7 @@
 /// Tables at version 1: the first `models` pools list the servers, the others use their lists.
 config_snapshot make_tables(const table_size& size);
 
-/// The entry of the next version: a top-up of one pool.
-config_log_entry make_top_up(const config_snapshot& tables);
+/// The entries of the next versions, each a top-up of the same pool.
+std::vector<config_log_entry> make_top_ups(const config_snapshot& tables, std::int64_t count);
 
 } // namespace jujubevalve
--- a/modules/config/config_changes.cpp
+++ b/modules/config/config_changes.cpp
@@ -65,15 +65,21 @@
     return {diff_table(from.routes(), to.routes()), diff_table(from.pools(), to.pools())};
 }
 
+status change_tables(config_snapshot::route_table& routes, config_snapshot::pool_table& pools,
+                     const config_changes& changes)
+{
+    if (auto changed = change_table(routes, changes.routes, "routes"); !changed) {
+        return changed;
+    }
+    return change_table(pools, changes.pools, "pools");
+}
+
 result<config_snapshot> with_changes(const config_snapshot& from, const config_changes& changes,
                                      std::int64_t term, std::int64_t version)
 {
     auto routes = from.routes();
     auto pools = from.pools();
-    if (const auto changed = change_table(routes, changes.routes, "routes"); !changed) {
-        return changed.why();
-    }
-    if (const auto changed = change_table(pools, changes.pools, "pools"); !changed) {
+    if (const auto changed = change_tables(routes, pools, changes); !changed) {
         return changed.why();
     }
     return config_snapshot{term, version, std::move(routes), std::move(pools)};
--- a/modules/config/config_changes.h
+++ b/modules/config/config_changes.h
@@ -34,6 +34,11 @@
 /// The changes that turn the first tables into the second.
 config_changes diff(const config_snapshot& from, const config_snapshot& to);
 
+/// Carries out the changes on both tables. Fails with `malformed_row` if a `before` row differs
+/// from the row in the table; the tables are then changed in part.
+status change_tables(config_snapshot::route_table& routes, config_snapshot::pool_table& pools,
+                     const config_changes& changes);
+
 /// The snapshot after the changes, with the given term and version. Fails with `malformed_row` if
 /// a `before` row differs from the row in the snapshot.
 result<config_snapshot> with_changes(const config_snapshot& from, const config_changes& changes,
--- a/modules/config/config_history.cpp
+++ b/modules/config/config_history.cpp
@@ -13,27 +13,54 @@
 
 adopt_outcome config_history::adopt(const config_log_entry& entry)
 {
-    if (entry.version <= version()) {
+    return adopt(std::vector<config_log_entry>{entry});
+}
+
+adopt_outcome config_history::adopt(const std::vector<config_log_entry>& entries)
+{
+    const auto first = std::find_if(entries.begin(), entries.end(), [this](const auto& entry) {
+        return entry.version > version();
+    });
+    if (first == entries.end()) {
         return adopt_outcome::already_known;
     }
-    if (entry.term < term()) {
-        return adopt_outcome::lower_term;
-    }
-    if (entry.version != version() + 1) {
-        return adopt_outcome::gap;
+    if (const auto outcome = check_order(first, entries.end()); outcome != adopt_outcome::adopted) {
+        return outcome;
     }
-    auto next = with_changes(*current_, entry.changes, entry.term, entry.version);
-    if (!next) {
-        return adopt_outcome::diverged;
+    auto routes = current_->routes();
+    auto pools = current_->pools();
+    for (auto entry = first; entry != entries.end(); ++entry) {
+        if (!change_tables(routes, pools, entry->changes)) {
+            return adopt_outcome::diverged;
+        }
     }
-    current_ = std::make_shared<const config_snapshot>(std::move(next).value());
-    entries_.push_back(entry);
+    const auto& last = entries.back();
+    current_ = std::make_shared<const config_snapshot>(last.term, last.version, std::move(routes),
+                                                       std::move(pools));
+    entries_.insert(entries_.end(), first, entries.end());
     while (entries_.size() > max_entries_) {
         entries_.pop_front();
     }
     return adopt_outcome::adopted;
 }
 
+adopt_outcome config_history::check_order(entry_iterator first, entry_iterator last) const
+{
+    auto version = this->version();
+    auto term = this->term();
+    for (auto entry = first; entry != last; ++entry) {
+        if (entry->term < term) {
+            return adopt_outcome::lower_term;
+        }
+        if (entry->version != version + 1) {
+            return adopt_outcome::gap;
+        }
+        version = entry->version;
+        term = entry->term;
+    }
+    return adopt_outcome::adopted;
+}
+
 adopt_outcome config_history::adopt(const config_snapshot& snapshot)
 {
     if (snapshot.version() <= version()) {
--- a/modules/config/config_history.h
+++ b/modules/config/config_history.h
@@ -33,6 +33,10 @@
     /// Puts the next version in force.
     adopt_outcome adopt(const config_log_entry& entry);
 
+    /// Puts several versions in force at once; the tables are copied once for all of them. Entries
+    /// that are already known are skipped. If an entry does not fit, nothing changes.
+    adopt_outcome adopt(const std::vector<config_log_entry>& entries);
+
     /// Puts a whole snapshot in force; the entries kept so far are dropped.
     adopt_outcome adopt(const config_snapshot& snapshot);
 
@@ -47,6 +51,11 @@
     entries_since(std::int64_t version, std::size_t limit = SIZE_MAX) const;
 
 private:
+    using entry_iterator = std::vector<config_log_entry>::const_iterator;
+
+    // Whether the entries follow the version in force without a gap and in terms that only rise.
+    [[nodiscard]] adopt_outcome check_order(entry_iterator first, entry_iterator last) const;
+
     std::size_t max_entries_;
     std::shared_ptr<const config_snapshot> current_;
     std::deque<config_log_entry> entries_; // the last one made the version in force
--- a/modules/config/tests/history_tests.cpp
+++ b/modules/config/tests/history_tests.cpp
@@ -58,6 +58,38 @@
     CHECK_EQUAL(1, history.version());
 }
 
+// Guards against entries that take another effect together than one after the other.
+TEST(history, entries_together_have_the_effect_of_each)
+{
+    config_history one_by_one;
+    config_history together;
+    CHECK(together.adopt(entry(1)) == adopt_outcome::adopted);
+    std::vector<config_log_entry> entries;
+    for (std::int64_t version = 1; version <= 4; ++version) {
+        entries.push_back(entry(version, version < 3 ? 1 : 2));
+        one_by_one.adopt(entries.back());
+    }
+    CHECK(together.adopt(entries) == adopt_outcome::adopted);
+    CHECK(*together.current() == *one_by_one.current());
+    CHECK(*together.entries_since(1) == *one_by_one.entries_since(1));
+    CHECK(together.adopt(entries) == adopt_outcome::already_known);
+    CHECK(together.adopt(std::vector<config_log_entry>{}) == adopt_outcome::already_known);
+}
+
+// Guards against a part of several entries in force after one of them was refused.
+TEST(history, entries_together_are_refused_as_a_whole)
+{
+    config_history history;
+    CHECK(history.adopt(std::vector{entry(1), entry(3)}) == adopt_outcome::gap);
+    CHECK(history.adopt(std::vector{entry(1, 2), entry(2, 1)}) == adopt_outcome::lower_term);
+    auto other = entry(1);
+    other.version = 2;
+    CHECK(history.adopt(std::vector{entry(1), other}) == adopt_outcome::diverged);
+    CHECK_EQUAL(0, history.version());
+    CHECK(history.current()->routes().empty());
+    CHECK(history.entries_since(0)->empty());
+}
+
 // Guards against unbounded memory, and against a peer that gets a list with a hole.
 TEST(history, keeps_a_bounded_number_of_entries)
 {
--- a/modules/router/config_service.cpp
+++ b/modules/router/config_service.cpp
@@ -76,27 +76,21 @@
 
 bool config_service::take_entries(const std::vector<config_log_entry>& entries)
 {
-    bool adopted = false;
-    bool complete = true;
+    adopt_outcome outcome{};
     {
-        const std::lock_guard lock{mutex_};
-        for (const auto& entry : entries) {
-            const auto outcome = history_.adopt(entry);
-            adopted = adopted || outcome == adopt_outcome::adopted;
-            complete = complete && (outcome == adopt_outcome::adopted ||
-                                    outcome == adopt_outcome::already_known);
-        }
+        const std::lock_guard lock{history_mutex_};
+        outcome = history_.adopt(entries);
     }
-    if (adopted) {
+    if (outcome == adopt_outcome::adopted) {
         publish();
     }
-    return complete;
+    return outcome == adopt_outcome::adopted || outcome == adopt_outcome::already_known;
 }
 
 bool config_service::take_snapshot(const config_snapshot& snapshot)
 {
     {
-        const std::lock_guard lock{mutex_};
+        const std::lock_guard lock{history_mutex_};
         if (history_.adopt(snapshot) != adopt_outcome::adopted) {
             return false;
         }
@@ -107,11 +101,18 @@
 
 void config_service::publish()
 {
-    const auto current = snapshot();
+    std::shared_ptr<const config_snapshot> current;
+    {
+        const std::lock_guard lock{history_mutex_};
+        current = history_.current();
+    }
     auto match = std::make_shared<const router_match>(current);
+    // The previous tables are freed after the lock is released.
+    auto previous = current;
     {
         const std::lock_guard lock{mutex_};
-        match_ = std::move(match);
+        std::swap(current_, previous);
+        std::swap(match_, match);
     }
     counts_.at("config_version") = current->version();
     spdlog::info("configuration version {} of term {} is in force", current->version(),
@@ -221,7 +222,7 @@
 wire::config_reply config_service::answer_entries(std::int64_t since) const
 {
     wire::config_reply reply;
-    const std::lock_guard lock{mutex_};
+    const std::lock_guard lock{history_mutex_};
     if (since >= history_.version()) {
         return reply;
     }
@@ -261,7 +262,7 @@
 std::shared_ptr<const config_snapshot> config_service::snapshot() const
 {
     const std::lock_guard lock{mutex_};
-    return history_.current();
+    return current_;
 }
 
 } // namespace jujubevalve
--- a/modules/router/config_service.h
+++ b/modules/router/config_service.h
@@ -66,8 +66,11 @@
     counters& counts_;
     listener adopted_;
     std::mutex update_mutex_; ///< one update at a time
-    mutable std::mutex mutex_;
+    /// Guards history_. An adoption copies the tables under it, so requests do not take it.
+    mutable std::mutex history_mutex_;
     config_history history_;
+    mutable std::mutex mutex_; ///< guards current_ and match_; held for moments only
+    std::shared_ptr<const config_snapshot> current_{std::make_shared<const config_snapshot>()};
     std::shared_ptr<const router_match> match_;
 };
 
