Pass on the details of newly started instances only

An instance that has learned the table of a large fleet after its start sent every entry's details about 20 times more.

--- a/modules/membership/member_table.cpp
+++ b/modules/membership/member_table.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t max_unknown = 1000;
 constexpr time_ms unknown_lifetime = seconds(60);
 constexpr std::size_t max_superseded = 2000;
+constexpr std::int64_t news_heartbeats = 60;
 constexpr unsigned heal_one_in = 8; // rounds that also ask a suspected peer or a seed
 
 template <class Container>
@@ -459,7 +460,9 @@
     }
     const auto id = id_of(detail.incarnation);
     superseded_.erase(id);
-    known_member member{detail, now, rumour_sends(), rumour_sends(), 0};
+    // Only an instance that has just started is news; an older entry is new to this table alone.
+    const bool news = detail.heartbeat <= news_heartbeats;
+    known_member member{detail, now, rumour_sends(), news ? rumour_sends() : 0, 0};
     const auto heard = unknown_.find(id);
     if (heard != unknown_.end() && heard->second.item.heartbeat > detail.heartbeat) {
         member.entry.heartbeat = heard->second.item.heartbeat;
