Ask at most 32 servers for their load in one round

Every router asked every server each 500 ms, each in a thread of its own: 0.42 ms CPU/s for each server, so about 100 servers used up the 4.6 % of a core of control work. Rounds of at most 32 take turns. Today's deployments have 12 servers and keep their interval. Price: with n servers a report is n/64 s old at worst; above 320 servers most reports are older than 5 s and the choice rests on the router's own requests in flight. Ruled out: reports passed on by gossip (2,500 servers do not fit into 2 KB/s), a longer interval for all (late for small pools too).

--- a/modules/router/server_pools.cpp
+++ b/modules/router/server_pools.cpp
@@ -12,6 +12,10 @@
 // Engines queue and batch on their own, and demand is not spread evenly over the instances; an
 // instance may therefore use twice its equal share before its requests wait here.
 constexpr std::int64_t share_factor = 2;
+
+// A report costs 0.2 ms of CPU time (docs/CAPACITY.md); without a bound 100 servers take the 4.6 %
+// of a core that control work may take. All servers of today's deployments fit into one round.
+constexpr std::size_t reports_per_round = 32;
 } // namespace
 
 server_pools::server_pools(backend_client& backends, counters& counts)
@@ -138,10 +142,10 @@
 
 void server_pools::poll_load()
 {
-    std::map<std::string, std::string, std::less<>> addresses;
+    std::vector<std::pair<std::string, std::string>> addresses;
     {
         const std::lock_guard lock{mutex_};
-        addresses = addresses_;
+        addresses = polled_.take(addresses_, reports_per_round);
     }
     std::map<std::string, std::future<result<server_load>>> asked;
     for (const auto& [name, address] : addresses) {
--- a/modules/router/server_pools.h
+++ b/modules/router/server_pools.h
@@ -3,6 +3,7 @@
 #include "backend/backend_client.h"
 #include "config/config.h"
 #include "core/core.h"
+#include "router/rotation.h"
 #include "routing/routing.h"
 
 #include <condition_variable>
@@ -47,7 +48,7 @@
     void finished(const std::string& server_set, const std::string& server,
                   backend_selector::ending how);
 
-    /// Fetches the load report of every server.
+    /// Fetches the load reports of up to 32 servers; others have their turn in later rounds.
     void poll_load();
 
     /// Takes over the number of live instances and refuses requests that waited too long.
@@ -83,7 +84,8 @@
     mutable std::mutex mutex_;
     std::condition_variable changed_;
     std::map<std::string, server_group, std::less<>> groups_;
-    std::map<std::string, std::string, std::less<>> addresses_;
+    rotation::entries addresses_;
+    rotation polled_;
     std::map<std::uint64_t, waiting_request> waiting_;
     std::set<std::string> listed_leaving_;
     std::uint64_t last_id_{0};
