Put what is left of a budget into grants

The bound free / (2 x live instances) kept half of the rest in the ledger, where an outage makes it useless; a grant now takes an equal part of the free tokens at each look until its demand or a thousandth of the limit is covered.

--- a/modules/budget/demand_driven.cpp
+++ b/modules/budget/demand_driven.cpp
@@ -14,29 +14,36 @@
 token_count demand_driven::target(const grant_facts& facts, token_count free) const
 {
     const auto live = std::max<std::int64_t>(1, facts.live_instances);
+    const auto bound =
+        std::max<token_count>(0, facts.available) + std::max<token_count>(0, free) / live;
+    return std::max(std::min(wish(facts), bound), facts.request);
+}
+
+token_count demand_driven::wish(const grant_facts& facts) const
+{
     const auto stock =
         static_cast<token_count>(facts.demand_per_ms * static_cast<double>(horizon_.count()));
-    const auto wish = std::max(stock, facts.shortage);
-    const auto bound =
-        std::min(facts.limit / limit_divisor_, std::max<token_count>(0, free) / (2 * live));
-    return std::max(std::min(wish, bound), facts.request);
+    return std::max(std::min(std::max(stock, facts.shortage), facts.limit / limit_divisor_),
+                    facts.request);
 }
 
 token_count demand_driven::wanted(const grant_facts& facts) const
 {
     const auto goal = target(facts, facts.free);
-    const bool is_short = facts.available < (goal + 1) / 2 || facts.shortage > facts.available;
+    const bool is_short =
+        facts.available < (wish(facts) + 1) / 2 || facts.shortage > facts.available;
     if (!is_short) {
         return -surplus(facts);
     }
-    // Less than one request cannot be used here, but perhaps by an instance with smaller ones. Taken
-    // without need, it would be returned at once and taken again, in a transaction every few ms.
-    const auto least =
-        facts.shortage > 0 ? std::min(facts.shortage, facts.request) : facts.request;
+    // Less than one request cannot be used here, but perhaps by an instance with smaller ones.
+    // Taken without need, it would be returned at once and taken again, in a transaction every few
+    // ms.
+    const auto least = facts.shortage > 0 ? std::min(facts.shortage, facts.request) : facts.request;
     if (facts.free <= 0 || facts.available + facts.free < least) {
         return -surplus(facts);
     }
-    return std::clamp<token_count>(goal - facts.available, 0, facts.free);
+    const auto step = std::clamp<token_count>(goal - facts.available, 0, facts.free);
+    return facts.shortage == 0 && step < facts.request ? 0 : step;
 }
 
 token_count demand_driven::surplus(const grant_facts& facts) const
