--- a/apps/experiment/main.cpp
+++ b/apps/experiment/main.cpp
@@ -3,6 +3,8 @@
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 #include <iostream>
+#include <string>
+#include <vector>
 
 DEFINE_bool(list, false, "name the scenarios");
 DEFINE_string(deployment, "braithwaite", "braithwaite or braeside");
@@ -20,6 +22,34 @@
 constexpr int exit_promise_broken = 1;
 constexpr int exit_usage = 2;
 
+// gflags alone would end the process with 1 on a wrong flag, which means a broken promise here.
+bool parse(const std::vector<std::string>& arguments, std::vector<std::string>& names)
+{
+    for (std::size_t i = 0; i < arguments.size(); ++i) {
+        const auto& argument = arguments[i];
+        if (!argument.starts_with('-')) {
+            names.push_back(argument);
+            continue;
+        }
+        const auto equals = argument.find('=');
+        const auto start = argument.find_first_not_of('-');
+        const auto flag =
+            start == std::string::npos ? argument : argument.substr(start, equals - start);
+        gflags::CommandLineFlagInfo info;
+        const bool known = gflags::GetCommandLineFlagInfo(flag.c_str(), &info);
+        const bool is_next = equals == std::string::npos && known && info.type != "bool";
+        const auto value = equals != std::string::npos ? argument.substr(equals + 1)
+                           : !is_next                  ? std::string{"true"}
+                           : i + 1 < arguments.size()  ? arguments[++i]
+                                                       : std::string{};
+        if (!known || gflags::SetCommandLineOption(flag.c_str(), value.c_str()).empty()) {
+            std::cerr << fmt::format("flag \"{}\" with value \"{}\" is not valid\n", flag, value);
+            return false;
+        }
+    }
+    return true;
+}
+
 void print_list()
 {
     for (const auto& item : all_scenarios()) {
@@ -32,25 +62,26 @@
     std::cout << fmt::format(
         "{} {} {} seed {}: {} requests, {} false refusals, {} overspent tokens, promises {}\n",
         report.scenario, report.deployment, report.policy, report.seed, report.requests,
-        report.false_refusals, report.overspend_tokens,
-        report.promises_kept() ? "kept" : "broken");
+        report.false_refusals, report.overspend_tokens, report.promises_kept() ? "kept" : "broken");
 }
 } // namespace
 
 int main(int argc, char** argv)
 {
-    gflags::SetUsageMessage("SCENARIO [flags] | --list");
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    std::vector<std::string> names;
+    if (!parse({argv + 1, argv + argc}, names)) {
+        return exit_usage;
+    }
     if (FLAGS_list) {
         print_list();
         return 0;
     }
-    if (argc != 2) {
+    if (names.size() != 1) {
         std::cerr << "expected one scenario; --list names them\n";
         return exit_usage;
     }
     const auto report =
-        run_scenario({argv[1], FLAGS_deployment, FLAGS_seed, FLAGS_policy, FLAGS_trace});
+        run_scenario({names.front(), FLAGS_deployment, FLAGS_seed, FLAGS_policy, FLAGS_trace});
     if (!report) {
         std::cerr << report.why().message << '\n';
         return exit_usage;
--- a/modules/experiment/arbiter.cpp
+++ b/modules/experiment/arbiter.cpp
@@ -148,8 +148,8 @@
     dead_.insert(incarnation);
     report_.stranded_tokens += std::max<token_count>(0, held);
     const auto limit = std::max<token_count>(1, budgets_[budget].limit);
-    report_.stranded_share = std::max(report_.stranded_share, static_cast<double>(held) /
-                                                                  static_cast<double>(limit));
+    report_.stranded_share =
+        std::max(report_.stranded_share, static_cast<double>(held) / static_cast<double>(limit));
 }
 
 void arbiter::config_adopted(time_ms delay)
--- a/modules/experiment/deployment.cpp
+++ b/modules/experiment/deployment.cpp
@@ -130,8 +130,7 @@
         const auto share = is_large ? weight / large * 2 / 3 : weight / small / 3;
         const auto programs = is_large ? 4 : 2;
         for (int p = 0; p < programs; ++p) {
-            demand.clients.push_back({fmt::format("account-{}", i),
-                                      site.domains.at(domain(random)),
+            demand.clients.push_back({fmt::format("account-{}", i), site.domains.at(domain(random)),
                                       requests_per_ms * share / programs});
         }
     }
--- a/modules/experiment/run_report.h
+++ b/modules/experiment/run_report.h
@@ -28,22 +28,23 @@
     std::int64_t outcome_unknown{0};
     std::int64_t unreachable{0};
     std::int64_t false_refusals{0};
-    std::int64_t false_refusals_low{0};    ///< part of it while less than a fifth of the budget is left
+    std::int64_t false_refusals_low{
+        0}; ///< part of it while less than a fifth of the budget is left
     std::int64_t false_refusals_margin{0}; ///< part of it that only the safety margin could serve
     std::int64_t refused_attempts{0};
-    token_count stranded_tokens{0};     ///< held by the grants of dead incarnations at their death
-    double stranded_share{0};           ///< largest part of one budget that one death stranded
+    token_count stranded_tokens{0}; ///< held by the grants of dead incarnations at their death
+    double stranded_share{0};       ///< largest part of one budget that one death stranded
     token_count stranded_after_recovery{0};
-    token_count closed_below_spend{0};  ///< grants closed below the true spend under them
-    std::int64_t grant_writes{0}; ///< transactions that change grants
+    token_count closed_below_spend{0}; ///< grants closed below the true spend under them
+    std::int64_t grant_writes{0};      ///< transactions that change grants
     std::int64_t platform_writes{0};
     std::int64_t platform_reads{0};
 
-    std::int64_t answered_unbilled{0};    ///< answered requests without a bill entry at the end
-    std::int64_t billed_not_run{0};       ///< bill entries of requests that never ran
-    std::int64_t late_server_work{0};     ///< requests sent to a server 3 s after it began to leave
-    std::int64_t config_max_delay_ms{0};  ///< longest time until a reachable router had a version
-    std::int64_t config_reverts{0};       ///< times that a router's version went down
+    std::int64_t answered_unbilled{0};   ///< answered requests without a bill entry at the end
+    std::int64_t billed_not_run{0};      ///< bill entries of requests that never ran
+    std::int64_t late_server_work{0};    ///< requests sent to a server 3 s after it began to leave
+    std::int64_t config_max_delay_ms{0}; ///< longest time until a reachable router had a version
+    std::int64_t config_reverts{0};      ///< times that a router's version went down
     std::int64_t transfers{0};
     std::int64_t recoveries{0};
     std::int64_t chats_resumed{0};
--- a/modules/experiment/scenario.cpp
+++ b/modules/experiment/scenario.cpp
@@ -55,6 +55,36 @@
     });
 }
 
+// The router with the most available tokens is the worst one to lose.
+std::int64_t richest(const world& all)
+{
+    std::int64_t found = 0;
+    token_count most = -1;
+    for (std::int64_t i = 0; i < all.site.routers; ++i) {
+        auto& book = all.router_at(all.site.instance(i))->budgets().book();
+        token_count held = 0;
+        for (const auto& budget : book.budgets()) {
+            held += book.available(budget);
+        }
+        if (held > most) {
+            most = held;
+            found = i;
+        }
+    }
+    return found;
+}
+
+void pause_richest(world& all)
+{
+    all.events.at(minutes(3), [&all] {
+        const auto number = richest(all);
+        pause(all, number, minutes(3), minutes(23));
+        all.events.at(minutes(23) - time_ms{1},
+                      [&all, number] { all.links.cut_platform(all.site.instance(number)); });
+        all.events.at(minutes(28), [&all] { all.links.heal(all.events.now()); });
+    });
+}
+
 // The third failure domain loses the others and the platform; one router of the second domain
 // loses the platform only.
 void partition(world& all, time_ms from, time_ms to)
@@ -99,7 +129,8 @@
                 const auto skip = all.random() % base.pools().size();
                 all.events.after(delay, [&all, base, i, raise, skip] {
                     all.apply(fmt::format("operator-{}", i), base, [&](auto& pools) {
-                        auto& row = std::next(pools.begin(), static_cast<std::ptrdiff_t>(skip))->second;
+                        auto& row =
+                            std::next(pools.begin(), static_cast<std::ptrdiff_t>(skip))->second;
                         const auto step = row.limit_tokens / 100;
                         row.limit_tokens += raise ? step : -step;
                     });
@@ -189,8 +220,11 @@
 {
     return {
         {"steady", "no faults", minutes(20), with_rate(usual_rate), {}},
-        {"budget-exhaustion", "the budgets run out after three quarters of the time", minutes(20),
-         nearly_spent(minutes(15)), {}},
+        {"budget-exhaustion",
+         "the budgets run out after three quarters of the time",
+         minutes(20),
+         nearly_spent(minutes(15)),
+         {}},
         {"budget-exhaustion-with-outage",
          "as budget-exhaustion, with ten minutes of platform outage before the end of the budgets",
          minutes(20), nearly_spent(minutes(15)),
@@ -203,9 +237,10 @@
          [](world& all) { lose_answers(all, minutes(2), minutes(12)); }},
         {"router-kill", "one router is killed and restarted, another one killed and removed",
          minutes(12), with_rate(usual_rate), [](world& all) { kill_two(all, minutes(5)); }},
-        {"long-pause", "a router is paused for 20 minutes while the budgets run out", minutes(30),
-         nearly_spent(minutes(15)),
-         [](world& all) { pause(all, 0, minutes(3), minutes(23)); }},
+        {"long-pause",
+         "the router that holds the most is paused for 20 minutes while the budgets run out; when "
+         "it continues, it does not reach the platform for 5 minutes",
+         minutes(30), nearly_spent(minutes(15)), pause_richest},
         {"partition-with-top-up", "one hour of partitions with a top-up in the middle", minutes(70),
          with_rate(usual_rate / 2),
          [](world& all) {
@@ -218,14 +253,15 @@
          with_rate(usual_rate),
          [](world& all) {
              race_operators(all, minutes(10));
-             all.events.at(minutes(4), [&all] {
-                 all.faults->set({.lost_answers = 0.2, .seed = all.seed});
-             });
+             all.events.at(minutes(4),
+                           [&all] { all.faults->set({.lost_answers = 0.2, .seed = all.seed}); });
              all.events.at(minutes(8), [&all] { all.faults->set({.seed = all.seed}); });
          }},
         {"silent-connections",
          "connections to backend servers go silent, others show answers to other requests",
-         minutes(10), with_silence(), {}},
+         minutes(10),
+         with_silence(),
+         {}},
         {"double-fault-kill-in-outage", "two routers are killed during a platform outage",
          minutes(20), with_rate(usual_rate),
          [](world& all) {
@@ -242,8 +278,7 @@
         {"server-leaving", "backend servers leave, by their own report and by the table",
          minutes(8), with_rate(usual_rate), leave_servers},
         {"non-idempotent-outage", "calls of the plain service during 30 minutes of outage",
-         minutes(40), mostly_plain(),
-         [](world& all) { set_outage(all, minutes(5), minutes(35)); }},
+         minutes(40), mostly_plain(), [](world& all) { set_outage(all, minutes(5), minutes(35)); }},
     };
 }
 
@@ -257,9 +292,9 @@
     }
     const auto& known = all_policies();
     if (std::find(known.begin(), known.end(), policy) == known.end()) {
-        return failure{result_code::invalid_setting,
-                       fmt::format("--policy is \"{}\", expected one of {}", policy,
-                                   fmt::join(known, ", "))};
+        return failure{
+            result_code::invalid_setting,
+            fmt::format("--policy is \"{}\", expected one of {}", policy, fmt::join(known, ", "))};
     }
     if (policy == "durable-intent") {
         options.issued_keys = false;
@@ -278,9 +313,10 @@
 
 const std::vector<std::string>& all_policies()
 {
-    static const std::vector<std::string> policies{
-        "demand-driven",   "demand-driven-no-transfers", "static-shares", "platform-per-request",
-        "reclaim-by-time", "issued-keys",                "durable-intent"};
+    static const std::vector<std::string> policies{"demand-driven",   "demand-driven-no-transfers",
+                                                   "static-shares",   "platform-per-request",
+                                                   "reclaim-by-time", "issued-keys",
+                                                   "durable-intent"};
     return policies;
 }
 
--- a/modules/experiment/sim_budget.cpp
+++ b/modules/experiment/sim_budget.cpp
@@ -179,8 +179,7 @@
 void sim_budget::settle_with_closed(const transfer& item)
 {
     all_.read(owner_, {grant_key(item.budget, item.to)}, [this, item](const auto& rows) {
-        const auto row =
-            rows ? parse_grant_row(rows->front().value) : result<grant_row>{failure{}};
+        const auto row = rows ? parse_grant_row(rows->front().value) : result<grant_row>{failure{}};
         if (row && row->closed) {
             const auto found = row->received.find(book_.incarnation());
             transfers_.settle_closed(item.to, item.budget,
@@ -213,8 +212,7 @@
 
 void sim_budget::settle(reservation_id id, std::optional<token_count> used)
 {
-    used ? book_.settle(id, *used, all_.events.now())
-         : book_.settle_in_full(id, all_.events.now());
+    used ? book_.settle(id, *used, all_.events.now()) : book_.settle_in_full(id, all_.events.now());
 }
 
 void sim_budget::release(reservation_id id)
@@ -240,9 +238,7 @@
         return book_.plan_close(now);
     }
     return std::visit(
-        [&](const auto& policy) {
-            return book_.plan_refill(policy, owner_.live_instances(), now);
-        },
+        [&](const auto& policy) { return book_.plan_refill(policy, owner_.live_instances(), now); },
         policy_);
 }
 
@@ -269,15 +265,14 @@
         retry_waiting();
         return;
     }
-    const auto planned =
-        batch.purpose == refill_purpose::close
-            ? planner_.build_close(book_, batch, *rows, now)
-            : std::visit(
-                  [&](const auto& policy) {
-                      return planner_.build(book_, policy, owner_.live_instances(), batch, *rows,
-                                            now);
-                  },
-                  policy_);
+    const auto planned = batch.purpose == refill_purpose::close
+                             ? planner_.build_close(book_, batch, *rows, now)
+                             : std::visit(
+                                   [&](const auto& policy) {
+                                       return planner_.build(book_, policy, owner_.live_instances(),
+                                                             batch, *rows, now);
+                                   },
+                                   policy_);
     if (!planned || planned->empty()) {
         book_.give_up(batch, true, now);
         refilling_ = planned.has_value();
@@ -294,8 +289,8 @@
                                      "{} shortage {} request {}\n",
                                      now.count(), book_.incarnation(), change.budget,
                                      change.granted - facts.granted, facts.available,
-                                     facts.reserved, facts.free, change.free_after,
-                                     facts.shortage, facts.request);
+                                     facts.reserved, facts.free, change.free_after, facts.shortage,
+                                     facts.request);
         }
     }
     ++all_.truth.report().grant_writes;
--- a/modules/experiment/sim_caller.cpp
+++ b/modules/experiment/sim_caller.cpp
@@ -62,8 +62,8 @@
         request.budget = chat_budget(profile_.account);
         request.server_set = all_.site.engine_pool;
         request.reservation = request.shape.reservation();
-        request.duration = time_ms{
-            static_cast<std::int64_t>(engine_ms_per_token * static_cast<double>(request.shape.used))};
+        request.duration = time_ms{static_cast<std::int64_t>(
+            engine_ms_per_token * static_cast<double>(request.shape.used))};
     } else {
         request.shape.used = plain_call_tokens;
         request.budget = plain_budget(all_.site);
--- a/modules/experiment/sim_recovery.cpp
+++ b/modules/experiment/sim_recovery.cpp
@@ -98,9 +98,8 @@
 {
     const auto commands = plan_->next();
     for (const auto& command : commands) {
-        plan_->consume(command.id,
-                       std::visit([this](const auto& step) { return carry_out(step); },
-                                  command.what));
+        plan_->consume(command.id, std::visit([this](const auto& step) { return carry_out(step); },
+                                              command.what));
     }
     if (!commands.empty()) {
         owner_.after(step_delay, [this] { work(); });
--- a/modules/experiment/sim_requests.cpp
+++ b/modules/experiment/sim_requests.cpp
@@ -46,8 +46,7 @@
         }
         auto& group = groups_[name];
         if (!group) {
-            group = std::make_unique<server_group>(
-                hash64(owner_.incarnation() + name, all_.seed));
+            group = std::make_unique<server_group>(hash64(owner_.incarnation() + name, all_.seed));
         }
         group->selector.servers().set_servers(row.servers);
     }
@@ -73,8 +72,8 @@
             const auto name = servers.row(i).name;
             servers.set_report(name, all_.servers.at(name)->report());
         }
-        take(set, group->queue.set_share(servers.slots() * share_factor, owner_.live_instances(),
-                                         now));
+        take(set,
+             group->queue.set_share(servers.slots() * share_factor, owner_.live_instances(), now));
         take(set, group->queue.expire(now));
     }
     registry_.expire(now);
@@ -121,8 +120,7 @@
         forward(connection, request, decision.incarnation);
         return;
     case home_action::write_intent:
-        if (const auto run =
-                begin(connection, request, epochs_.at(all_.events.now()), false)) {
+        if (const auto run = begin(connection, request, epochs_.at(all_.events.now()), false)) {
             insert_intent(run, 1);
         }
         return;
@@ -179,8 +177,7 @@
     all_.commit(owner_, insert, [this, run, name, own, attempt](const commit_result& committed) {
         const auto decide = [this, run, attempt](const intent_result& seen) {
             const auto& wanted = run->request;
-            const auto decision =
-                home_.after_intent(wanted.account, wanted.key, seen, owner_);
+            const auto decision = home_.after_intent(wanted.account, wanted.key, seen, owner_);
             if (decision.action == home_action::retry_intent) {
                 owner_.after(intent_retry_delay,
                              [this, run, attempt] { insert_intent(run, attempt + 1); });
@@ -262,8 +259,7 @@
     case begin_action::refused:
     case begin_action::outcome_unknown:
         refuse(connection, request, begun.why.code,
-               begun.action == begin_action::refused ? run_outcome::not_run
-                                                     : run_outcome::unknown);
+               begun.action == begin_action::refused ? run_outcome::not_run : run_outcome::unknown);
         return nullptr;
     }
     const auto run = std::make_shared<execution>();
@@ -284,21 +280,21 @@
 {
     const auto& request = run->request;
     auto& server = *all_.servers.at(request.resume_server);
-    const bool known = registry_.mark_sent(run->id) &&
-                       server.resume(request.resume_key, [this, run](const auto& answer) {
-                           owner_.after(world::link_delay, [this, run, answer] {
-                               if (answer.how != server_answer::ending::ended) {
-                                   finish_unknown(run);
-                                   return;
-                               }
-                               ++all_.truth.report().chats_resumed;
-                               // The spend belongs to the incarnation that started the run.
-                               const auto& wanted = run->request;
-                               owner_.budgets().add_bill(
-                                   {wanted.account, wanted.key, wanted.budget, answer.used});
-                               finish_answered(run, answer);
-                           });
-                       });
+    const bool known =
+        registry_.mark_sent(run->id) &&
+        server.resume(request.resume_key, [this, run](const auto& answer) {
+            owner_.after(world::link_delay, [this, run, answer] {
+                if (answer.how != server_answer::ending::ended) {
+                    finish_unknown(run);
+                    return;
+                }
+                ++all_.truth.report().chats_resumed;
+                // The spend belongs to the incarnation that started the run.
+                const auto& wanted = run->request;
+                owner_.budgets().add_bill({wanted.account, wanted.key, wanted.budget, answer.used});
+                finish_answered(run, answer);
+            });
+        });
     if (!known) {
         registry_.mark_not_delivered(run->id);
         admit(run);
@@ -310,9 +306,8 @@
     const auto& request = run->request;
     const auto now = all_.events.now();
     const auto& set = request.server_set;
-    owner_.after(admission_wait, [this, set] {
-        take(set, group_of(set).queue.expire(all_.events.now()));
-    });
+    owner_.after(admission_wait,
+                 [this, set] { take(set, group_of(set).queue.expire(all_.events.now())); });
     take(set, group_of(set).queue.offer(
                   {run->id, request.account, request.reservation, 0, now + admission_wait}, now));
 }
@@ -358,8 +353,7 @@
         return;
     }
     run->tried.push_back(choice->name);
-    const auto n =
-        owner_.budgets().assign(choice->name, request.budget, request.reservation);
+    const auto n = owner_.budgets().assign(choice->name, request.budget, request.reservation);
     if (!n || !registry_.mark_sent(run->id)) {
         selector.finished(choice->name, backend_selector::ending::neutral, all_.events.now());
         if (n) {
@@ -399,17 +393,15 @@
         return;
     }
     if (run->request.idempotent) {
-        const auto silent_at =
-            time_ms{static_cast<std::int64_t>(part(all_.random) *
-                                              static_cast<double>(run->request.duration.count()))};
+        const auto silent_at = time_ms{static_cast<std::int64_t>(
+            part(all_.random) * static_cast<double>(run->request.duration.count()))};
         owner_.after(silent_at + idle_timeout,
                      [this, run, server, key] { resume_silent(run, server, key); });
     } else {
         owner_.after(call_timeout, [this, run, server, key] {
             if (!run->ended && run->server == server) {
                 group_of(run->request.server_set)
-                    .selector.finished(server, backend_selector::ending::failed,
-                                       all_.events.now());
+                    .selector.finished(server, backend_selector::ending::failed, all_.events.now());
                 owner_.budgets().settle(run->reservation, std::nullopt);
                 owner_.budgets().settle_number(server, run->n);
                 finish_unknown(run);
@@ -424,10 +416,10 @@
     if (run->ended || run->server != server) {
         return;
     }
-    const bool known =
-        all_.servers.at(server)->resume(key, [this, run, key](const server_answer& answer) {
-            owner_.after(world::link_delay, [this, run, key, answer] { conclude(run, key, answer); });
-        });
+    const bool known = all_.servers.at(server)->resume(key, [this, run,
+                                                             key](const server_answer& answer) {
+        owner_.after(world::link_delay, [this, run, key, answer] { conclude(run, key, answer); });
+    });
     if (known) {
         ++all_.truth.report().chats_resumed;
     }
@@ -488,8 +480,8 @@
     if (run->ended) {
         return;
     }
-    const bool first = registry_.mark_unknown(run->id, {result_code::backend_lost, {}},
-                                              all_.events.now());
+    const bool first =
+        registry_.mark_unknown(run->id, {result_code::backend_lost, {}}, all_.events.now());
     if (first && !run->request.idempotent) {
         const auto& request = run->request;
         owner_.budgets().add_bill(
--- a/modules/experiment/sim_router.cpp
+++ b/modules/experiment/sim_router.cpp
@@ -69,8 +69,8 @@
 
 instance_row sim_router::own_row() const
 {
-    return {instance_, incarnation_, instance_, instance_,
-            domain_,   all_.site.region, 1,     incarnation_state::active,
+    return {instance_,   incarnation_,     instance_, instance_,
+            domain_,     all_.site.region, 1,         incarnation_state::active,
             std::nullopt};
 }
 
@@ -217,8 +217,8 @@
 std::vector<std::string> sim_router::alternatives(const std::string& budget)
 {
     std::vector<std::string> list;
-    const bool knows_budgets = all_.options.policy != "static-shares" &&
-                               all_.options.policy != "platform-per-request";
+    const bool knows_budgets =
+        all_.options.policy != "static-shares" && all_.options.policy != "platform-per-request";
     if (const auto holder = holder_of(budget); knows_budgets && !holder.empty()) {
         list.push_back(holder);
     }
@@ -250,8 +250,8 @@
 void sim_router::poll_config()
 {
     all_.read(*this, {std::string{config_head_key}}, [this](const auto& rows) {
-        const auto head = rows ? decode_config_head(rows->front().value)
-                               : result<std::int64_t>{rows.why()};
+        const auto head =
+            rows ? decode_config_head(rows->front().value) : result<std::int64_t>{rows.why()};
         if (!head || *head <= config_.version()) {
             return;
         }
@@ -346,8 +346,7 @@
         return;
     }
     const auto text = all_.objects.get(final_records_name(row.incarnation));
-    const auto records = text ? final_records::from_json(*text)
-                              : result<final_records>{text.why()};
+    const auto records = text ? final_records::from_json(*text) : result<final_records>{text.why()};
     if (records) {
         records_.emplace(row.incarnation, std::make_shared<const final_records>(*records));
     }
@@ -406,8 +405,7 @@
         }
         auto grant = parse_grant_row(rows->at(0).value);
         auto ledger = parse_ledger_row(rows->at(1).value);
-        if (!grant || !ledger || rows->at(0).version == 0 ||
-            grant->granted <= spent[row.budget]) {
+        if (!grant || !ledger || rows->at(0).version == 0 || grant->granted <= spent[row.budget]) {
             continue;
         }
         auto new_grant = *grant;
@@ -460,8 +458,7 @@
     }
     budgets_.transfers().refuse_all();
     budgets_.write_segment([this](bool written) {
-        const bool ready =
-            written && budgets_.transfers().all_acknowledged() && budgets_.close();
+        const bool ready = written && budgets_.transfers().all_acknowledged() && budgets_.close();
         if (!ready) {
             after(leave_retry, [this] { leave(); });
             return;
@@ -493,8 +490,8 @@
         }
         const auto key = instance_key(incarnation_);
         all_.read(*this, {key}, [this, again, key](const auto& rows) {
-            const auto row = rows ? parse_instance_row(rows->front().value)
-                                  : result<instance_row>{rows.why()};
+            const auto row =
+                rows ? parse_instance_row(rows->front().value) : result<instance_row>{rows.why()};
             if (!row) {
                 again();
                 return;
@@ -506,8 +503,7 @@
             auto drained = *row;
             drained.state = incarnation_state::drained;
             drained.final_segment = budgets_.last_segment();
-            const transaction change{
-                {{key, rows->front().version}}, {{key, to_text(drained)}}, {}};
+            const transaction change{{{key, rows->front().version}}, {{key, to_text(drained)}}, {}};
             all_.commit(*this, change, [this, again](const commit_result& outcome) {
                 outcome.outcome == commit_outcome::committed ? exit() : again();
             });
--- a/modules/experiment/sim_server.cpp
+++ b/modules/experiment/sim_server.cpp
@@ -99,8 +99,9 @@
     }
     auto& item = found->second;
     if (item.state == run_state::running && item.request.idempotent) {
-        const auto part = static_cast<double>((events_.now() - item.started).count()) /
-                          static_cast<double>(std::max<std::int64_t>(1, item.request.duration.count()));
+        const auto part =
+            static_cast<double>((events_.now() - item.started).count()) /
+            static_cast<double>(std::max<std::int64_t>(1, item.request.duration.count()));
         item.used = static_cast<token_count>(part * static_cast<double>(item.request.shape.used));
         --running_;
         truth_.run_ended(item.request, item.incarnation, item.used);
@@ -109,17 +110,16 @@
         start_next();
     } else if (item.state == run_state::running) {
         // A plain call cannot be undone; it ends soon and costs what it costs.
-        return {true,
-                item.request.shape.used,
-                {item.request.account, item.request.key, item.request.budget,
-                 item.request.shape.used}};
+        return {
+            true,
+            item.request.shape.used,
+            {item.request.account, item.request.key, item.request.budget, item.request.shape.used}};
     } else if (item.state == run_state::queued) {
         item.state = run_state::cancelled;
         answer(key, item);
     }
-    return {true,
-            item.used,
-            {item.request.account, item.request.key, item.request.budget, item.used}};
+    return {
+        true, item.used, {item.request.account, item.request.key, item.request.budget, item.used}};
 }
 
 load_report sim_server::report() const
--- a/modules/experiment/world.cpp
+++ b/modules/experiment/world.cpp
@@ -72,9 +72,10 @@
     const auto days = minutes(30 * 24 * 60);
     transaction change;
     for (const auto& [name, row] : config.pools()) {
-        const auto left = static_cast<token_count>(static_cast<double>(row.limit_tokens) *
-                                                   static_cast<double>(options.remaining_demand.count()) /
-                                                   static_cast<double>(days.count()));
+        const auto left =
+            static_cast<token_count>(static_cast<double>(row.limit_tokens) *
+                                     static_cast<double>(options.remaining_demand.count()) /
+                                     static_cast<double>(days.count()));
         const auto spent = std::max<token_count>(0, row.grantable() - left);
         truth.add_history(row.budget, spent);
         change.writes.push_back({ledger_key(row.budget), to_text(ledger_row{spent})});
@@ -117,8 +118,7 @@
     events.after(link_delay, [this, instance, request, reply] {
         auto* const target = router_at(instance);
         if (target == nullptr) {
-            events.after(link_delay,
-                         [reply] { reply(sim_reply{sim_reply::kind::not_delivered}); });
+            events.after(link_delay, [reply] { reply(sim_reply{sim_reply::kind::not_delivered}); });
             return;
         }
         target->run([target, request, reply] { target->requests().receive(request, reply); });
@@ -259,8 +259,8 @@
     for (const auto& incarnation : truth.dead()) {
         for (const auto& [name, row] : config.pools()) {
             const auto rows = table.read({grant_key(row.budget, incarnation)});
-            const auto grant = rows ? parse_grant_row(rows->front().value)
-                                    : result<grant_row>{rows.why()};
+            const auto grant =
+                rows ? parse_grant_row(rows->front().value) : result<grant_row>{rows.why()};
             if (grant) {
                 truth.check_closed_grant(incarnation, row.budget, *grant);
             }
--- a/modules/experiment/world.h
+++ b/modules/experiment/world.h
@@ -25,11 +25,11 @@
 /// How a run differs from the defaults.
 struct world_options {
     std::string policy{"demand-driven"};
-    bool issued_keys{true};     ///< non-idempotent requests carry an issued prefix
-    double requests_per_ms{0};  ///< of all callers together
-    double plain_share{0.2};    ///< part of the requests that go to the plain service
-    double silent_share{0};     ///< part of the connections to backend servers that go silent
-    double mixed_share{0};      ///< part of the runs whose connection shows another run's answer too
+    bool issued_keys{true};    ///< non-idempotent requests carry an issued prefix
+    double requests_per_ms{0}; ///< of all callers together
+    double plain_share{0.2};   ///< part of the requests that go to the plain service
+    double silent_share{0};    ///< part of the connections to backend servers that go silent
+    double mixed_share{0};     ///< part of the runs whose connection shows another run's answer too
     time_ms remaining_demand{}; ///< if not 0, the budgets are spent but for this much demand
     bool trace{false};
 };
