Process tests: harness, relay, router death and at-most-once orders

Real processes on loopback with free ports.

An advertised peer address is held by no process, so it is no evidence that a predecessor is gone; the instance row says so (peer_bound). Alternative ruled out: the bound address in the row, because home look-ups and recovery call the address in the row.

--- a/apps/router/main.cpp
+++ b/apps/router/main.cpp
@@ -15,6 +15,12 @@
 DEFINE_string(region, "", "region of this instance");
 DEFINE_string(listen, "127.0.0.1:0", "ip:port of the caller API; port 0 takes a free one");
 DEFINE_string(peer_listen, "127.0.0.1:0", "ip:port of the peer protocol; port 0 takes a free one");
+DEFINE_string(advertise, "",
+              "ip:port under which callers reach --listen; empty takes the address it is bound to");
+DEFINE_string(peer_advertise, "",
+              "ip:port under which peers reach --peer_listen; empty takes the address it is bound "
+              "to. With another address, a successor on the same instance does not prove that this "
+              "process is gone; recovery then needs the platform's instance list");
 DEFINE_string(seeds, "", "ip:port,... of peers to ask first");
 DEFINE_string(platform, "", "ip:port of the platform's services");
 DEFINE_string(platform_credential, "",
@@ -90,6 +96,8 @@
     settings.region = FLAGS_region;
     settings.listen = FLAGS_listen;
     settings.peer_listen = FLAGS_peer_listen;
+    settings.advertise = FLAGS_advertise;
+    settings.peer_advertise = FLAGS_peer_advertise;
     settings.seeds = jujubevalve::split_list(FLAGS_seeds);
     settings.platform = FLAGS_platform;
     settings.platform_credential = FLAGS_platform_credential;
--- a/modules/budget/instance_row.cpp
+++ b/modules/budget/instance_row.cpp
@@ -52,6 +52,9 @@
     if (row.final_segment) {
         object["final_segment"] = *row.final_segment;
     }
+    if (!row.peer_bound) {
+        object["peer_bound"] = false;
+    }
     return object.dump();
 }
 
@@ -67,6 +70,7 @@
         row.region = json_fields::text(object, "region");
         row.term = json_fields::whole_number(object, "term", 0, INT64_MAX);
         row.state = state_of(json_fields::text(object, "state"));
+        row.peer_bound = object.value("peer_bound", true);
         const auto last = object.find("final_segment");
         if (last != object.end() && !last->is_null()) {
             row.final_segment = json_fields::whole_number(object, "final_segment", 0, INT64_MAX);
--- a/modules/budget/instance_row.h
+++ b/modules/budget/instance_row.h
@@ -25,6 +25,8 @@
     std::int64_t term{0};
     incarnation_state state{incarnation_state::active};
     std::optional<std::int64_t> final_segment; ///< number of the last segment, once it is known
+    /// False if peer_address is advertised only, so that another process could bind it.
+    bool peer_bound{true};
 
     friend bool operator==(const instance_row&, const instance_row&) = default;
 };
--- a/modules/budget/tests/codec_tests.cpp
+++ b/modules/budget/tests/codec_tests.cpp
@@ -27,6 +27,9 @@
                                 incarnation_state::recovering,
                                 12};
     CHECK(*parse_instance_row(to_text(instance)) == instance);
+    auto advertised = instance;
+    advertised.peer_bound = false;
+    CHECK(*parse_instance_row(to_text(advertised)) == advertised);
     const term_row term{4, "braeside"};
     CHECK(*decode_term(encode(term)) == term);
     const segment cut{
--- a/modules/router/recovery_service.cpp
+++ b/modules/router/recovery_service.cpp
@@ -76,15 +76,19 @@
             row.state == incarnation_state::active || row.state == incarnation_state::recovering;
         if (open && row.incarnation != own_.incarnation &&
             watched_.insert(row.incarnation).second) {
-            evidence_.watch(row.incarnation, row.instance, row.peer_address, clock_.now());
+            // An address that a process does not hold proves nothing; an empty one matches none.
+            evidence_.watch(row.incarnation, row.instance, row.peer_bound ? row.peer_address : "",
+                            clock_.now());
         }
         if (!open && watched_.erase(row.incarnation) > 0) {
             evidence_.forget(row.incarnation);
         }
     }
     // This process holds the bound peer address, so earlier processes that used it are gone.
-    evidence_.successor_answered(own_.incarnation, own_.instance, own_.peer_address,
-                                 clock_.now() + time_ms{1});
+    if (own_.peer_bound) {
+        evidence_.successor_answered(own_.incarnation, own_.instance, own_.peer_address,
+                                     clock_.now() + time_ms{1});
+    }
 }
 
 std::set<std::string> recovery_service::gone_incarnations()
--- a/modules/router/router.cpp
+++ b/modules/router/router.cpp
@@ -156,8 +156,11 @@
         instance_row row;
         row.instance = settings_.instance;
         row.incarnation = incarnation_;
-        row.http_address = http_server_.address();
-        row.peer_address = peer_server_.address();
+        row.http_address =
+            settings_.advertise.empty() ? http_server_.address() : settings_.advertise;
+        row.peer_address =
+            settings_.peer_advertise.empty() ? peer_server_.address() : settings_.peer_advertise;
+        row.peer_bound = row.peer_address == peer_server_.address();
         row.failure_domain = settings_.failure_domain;
         row.region = settings_.region;
         row.term = settings_.term;
--- a/modules/router/router_settings.cpp
+++ b/modules/router/router_settings.cpp
@@ -58,6 +58,12 @@
     check_names(s, errors);
     errors.address("listen", s.listen);
     errors.address("peer_listen", s.peer_listen);
+    if (!s.advertise.empty()) {
+        errors.address("advertise", s.advertise);
+    }
+    if (!s.peer_advertise.empty()) {
+        errors.address("peer_advertise", s.peer_advertise);
+    }
     errors.address("platform", s.platform);
     for (const auto& seed : s.seeds) {
         errors.address("seeds", seed);
--- a/modules/router/router_settings.h
+++ b/modules/router/router_settings.h
@@ -15,8 +15,10 @@
     std::string region;                     ///< region of this instance
     std::string listen{"127.0.0.1:0"};      ///< caller API
     std::string peer_listen{"127.0.0.1:0"}; ///< peer protocol
-    std::vector<std::string> seeds;         ///< peer addresses to ask first
-    std::string platform;                   ///< ip:port of the platform's services
+    std::string advertise;          ///< address that callers are given; empty: the bound one
+    std::string peer_advertise;     ///< address that peers are given; empty: the bound one
+    std::vector<std::string> seeds; ///< peer addresses to ask first
+    std::string platform;           ///< ip:port of the platform's services
     std::string platform_credential;
     std::string fleet_secret; ///< shared by all instances; proves peers and signs keys
     std::int64_t term{1};
--- a/modules/standins/standins.h
+++ b/modules/standins/standins.h
@@ -10,6 +10,7 @@
 #include "standins/service_answer.h"
 #include "standins/service_standin.h"
 #include "standins/stop_signal.h"
+#include "standins/tcp_relay.h"
 #include "standins/memory_faults.h"
 #include "standins/memory_instance_list.h"
 #include "standins/memory_object_store.h"
--- /dev/null
+++ b/tests/process/child_process.cpp
@@ -0,0 +1,154 @@
+#include "process/child_process.h"
+
+#include "core/clock.h"
+
+#include <cerrno>
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <poll.h>
+#include <spawn.h>
+#include <sstream>
+#include <stdexcept>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+namespace jujubevalve::process
+{
+
+namespace
+{
+constexpr time_ms start_limit = seconds(30);
+
+// The harness passes all settings as flags, so that variables of the caller have no effect.
+std::vector<std::string> clean_environment()
+{
+    std::vector<std::string> kept;
+    for (char** entry = environ; *entry != nullptr; ++entry) {
+        if (!std::string_view{*entry}.starts_with("JUJUBEVALVE_")) {
+            kept.emplace_back(*entry);
+        }
+    }
+    return kept;
+}
+
+std::vector<char*> pointers(std::vector<std::string>& texts)
+{
+    std::vector<char*> result;
+    for (auto& text : texts) {
+        result.push_back(text.data());
+    }
+    result.push_back(nullptr);
+    return result;
+}
+} // namespace
+
+child_process::child_process(const std::string& program, const std::vector<std::string>& arguments)
+    : name_{program}
+{
+    int ends[2] = {-1, -1};
+    if (::pipe2(ends, O_CLOEXEC) != 0) {
+        throw std::runtime_error{"cannot make a pipe"};
+    }
+    output_ = ends[0];
+    std::vector<std::string> words{JUJUBEVALVE_BIN_DIR "/" + program};
+    words.insert(words.end(), arguments.begin(), arguments.end());
+    auto environment = clean_environment();
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+    // Log lines of the programs are wanted only when a failure is looked into.
+    if (std::getenv("PROCESS_TESTS_LOG") == nullptr) {
+        posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, "/dev/null", O_WRONLY, 0);
+    }
+    const int failed = ::posix_spawn(&id_, words.front().c_str(), &actions, nullptr,
+                                     pointers(words).data(), pointers(environment).data());
+    posix_spawn_file_actions_destroy(&actions);
+    ::close(ends[1]);
+    if (failed != 0) {
+        ::close(output_);
+        throw std::runtime_error{"cannot start " + words.front()};
+    }
+}
+
+child_process::~child_process()
+{
+    kill();
+    ::close(output_);
+}
+
+const std::vector<std::string>& child_process::wait_listening()
+{
+    const auto deadline = steady_clock_ms{}.now() + start_limit;
+    while (words_.empty() && text_.find('\n') == std::string::npos) {
+        const auto left = deadline - steady_clock_ms{}.now();
+        if (left <= time_ms{0} || !read_some(left)) {
+            throw std::runtime_error{name_ + " did not start: " + text_};
+        }
+    }
+    if (words_.empty()) {
+        std::istringstream line{text_.substr(0, text_.find('\n'))};
+        for (std::string word; line >> word;) {
+            words_.push_back(word);
+        }
+        if (words_.size() < 2 || words_.front() != "listening") {
+            throw std::runtime_error{name_ + " did not listen: " + text_};
+        }
+    }
+    return words_;
+}
+
+std::string child_process::read_all()
+{
+    while (read_some(start_limit)) {
+    }
+    return text_;
+}
+
+void child_process::send(int signal)
+{
+    if (!ended_) {
+        ::kill(id_, signal);
+    }
+}
+
+void child_process::kill()
+{
+    send(SIGKILL);
+    wait_ended(start_limit);
+}
+
+std::optional<int> child_process::wait_ended(time_ms limit)
+{
+    const auto deadline = steady_clock_ms{}.now() + limit;
+    while (!ended_) {
+        int how = 0;
+        if (::waitpid(id_, &how, WNOHANG) == id_) {
+            ended_ = WIFEXITED(how) ? WEXITSTATUS(how) : 128 + WTERMSIG(how);
+        } else if (steady_clock_ms{}.now() >= deadline) {
+            break;
+        } else {
+            std::this_thread::sleep_for(std::chrono::milliseconds{5});
+        }
+    }
+    return ended_;
+}
+
+// False at the end of the output or if there is none in time.
+bool child_process::read_some(time_ms limit)
+{
+    pollfd wait{output_, POLLIN, 0};
+    if (::poll(&wait, 1, static_cast<int>(limit.count())) <= 0) {
+        return false;
+    }
+    char bytes[4096];
+    const auto got = ::read(output_, bytes, sizeof bytes);
+    if (got > 0) {
+        text_.append(bytes, static_cast<std::size_t>(got));
+    }
+    return got > 0;
+}
+
+} // namespace jujubevalve::process
