--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -95,7 +95,12 @@
     /// Applies the tables, made from a version; returns the exit code and output of ctl.
     [[nodiscard]] std::pair<int, std::string> apply(std::int64_t base);
 
-    /// Flags of a router of this fleet, for tests that start one at relays.
+    /// Writes the tables, made from a version, to a file for `apply_file`, which removes it.
+    [[nodiscard]] std::string write_tables(std::int64_t base);
+    [[nodiscard]] std::pair<int, std::string> apply_file(const std::string& name,
+                                                         std::int64_t base);
+
+    /// Peer addresses that routers are given; a test may replace them by those of relays.
     std::vector<std::string> seeds;
 
     /// Address that routers get as the platform's; a relay's, if a test sets it.
