Refill: take each budget at most once per call

Seen in a trial of two partitioned routers with a budget of 1500 tokens that is used up: the drain did not end within 30 s, and a grant row had seq 3888 after 16 s; metrics of the draining router did not answer. refill() repeats until the plan is empty and holds refill_mutex_, for which close() waits.

Probable reason of the repetition, from the code and not traced: with less than one request's tokens free and no shortage, demand_driven::wanted takes the rest (least = 1), and in the next turn its surplus rule returns it.

Ruled out: unacknowledged transfers (also seen with no transfer in either row). Ending the loop after one batch would make the budgets beyond it wait.

--- a/modules/router/budget_service.cpp
+++ b/modules/router/budget_service.cpp
@@ -1,6 +1,8 @@
 #include "router/budget_service.h"
 
+#include <algorithm>
 #include <chrono>
+#include <set>
 #include <utility>
 
 namespace jujubevalve
@@ -138,6 +140,7 @@
 void budget_service::refill(std::int64_t live_instances)
 {
     const std::lock_guard one_at_a_time{refill_mutex_};
+    std::set<std::string> handled;
     for (;;) {
         refill_batch batch;
         {
@@ -148,6 +151,17 @@
                 },
                 policy_);
         }
+        // A policy may want back at once what it has just returned, so a budget's second turn waits
+        // for the next call. Otherwise this loop never ends and a drain waits for it for ever.
+        const bool repeats =
+            std::any_of(batch.budgets.begin(), batch.budgets.end(),
+                        [&](const auto& budget) { return !handled.insert(budget).second; });
+        if (repeats) {
+            const std::lock_guard lock{mutex_};
+            book_.give_up(batch, true, clock_.now());
+            changed_.notify_all(); // requests that still wait ask again
+            break;
+        }
         if (batch.empty() || !run_batch(batch, live_instances)) {
             break;
         }
