Process tests: bound the wait for a silent home of a key

order_for_a_silent_home failed in one run with no answer within the caller's 30 s. Probable cause, not traced: the forward waits up to the request time-out, 60 s in the harness, if the connection to the silent peer is a new one.

--- a/tests/process/partition_tests.cpp
+++ b/tests/process/partition_tests.cpp
@@ -29,12 +29,14 @@
     {
         all = std::make_unique<fleet>(fleet_options{});
         all->seeds = {to_a.address(), to_b.address()};
-        all->start_router("entry-a", {"--peer_advertise=" + to_a.address()});
+        all->start_router("entry-a",
+                          {"--peer_advertise=" + to_a.address(), "--request_timeout_ms=5000"});
         to_a.set_target(all->peer_address("entry-a"));
         to_platform.set_target(all->platform_address());
         all->platform_for_routers = to_platform.address();
         all->seeds = {to_a.address(), to_b.address()};
-        all->start_router("entry-b", {"--peer_advertise=" + to_b.address()});
+        all->start_router("entry-b",
+                          {"--peer_advertise=" + to_b.address(), "--request_timeout_ms=5000"});
         to_b.set_target(all->peer_address("entry-b"));
         CHECK(all->wait_ready("entry-a"));
         CHECK(all->wait_ready("entry-b"));
