demand-driven: keep two horizons in stock, never strand more than 0.1 % of a limit

Cause: after the merge of both policies the stock was one horizon (a whole horizon is in stock only just after a refill), and with two horizons the tokens stranded by a death passed 0.1 % of the limit, because reservations in flight came on top of the target. The target now leaves room for them.

--- a/modules/budget/demand_driven.cpp
+++ b/modules/budget/demand_driven.cpp
@@ -22,9 +22,10 @@
 token_count demand_driven::wish(const grant_facts& facts) const
 {
     const auto stock =
-        static_cast<token_count>(facts.demand_per_ms * static_cast<double>(horizon_.count()));
-    return std::max(std::min(std::max(stock, facts.shortage), facts.limit / limit_divisor_),
-                    facts.request);
+        static_cast<token_count>(facts.demand_per_ms * 2 * static_cast<double>(horizon_.count()));
+    // A death strands what is reserved as well as what is available.
+    const auto most = std::max<token_count>(0, facts.limit / limit_divisor_ - facts.reserved);
+    return std::max(std::min(std::max(stock, facts.shortage), most), facts.request);
 }
 
 token_count demand_driven::wanted(const grant_facts& facts) const
