--- a/modules/router/chat_service.cpp
+++ b/modules/router/chat_service.cpp
@@ -52,6 +52,10 @@
         started.running = place.running;
         return started;
     case begin_action::answered:
+        if (place.running) {
+            started.running = place.running;
+            return started;
+        }
         started.running = std::make_shared<execution>();
         started.running->append(place.begin.answer->body);
         started.running->finish({std::nullopt, run_outcome::answered});
--- a/modules/router/execution_table.cpp
+++ b/modules/router/execution_table.cpp
@@ -5,6 +5,12 @@
 namespace jujubevalve
 {
 
+namespace
+{
+// Ended executions whose parts are kept for replays; older ones are replayed as one part.
+constexpr std::size_t most_recent = 256;
+} // namespace
+
 execution_table::execution_table(std::string incarnation, key_epochs epochs)
     : epochs_{epochs}
     , registry_{std::move(incarnation), epochs}
@@ -21,6 +27,9 @@
     } else if (result.begin.action == begin_action::join) {
         const auto found = running_.find(result.begin.id);
         result.running = found == running_.end() ? nullptr : found->second;
+    } else if (result.begin.action == begin_action::answered) {
+        const auto found = recent_.find(result.begin.id);
+        result.running = found == recent_.end() ? nullptr : found->second;
     }
     return result;
 }
@@ -28,7 +37,14 @@
 void execution_table::ended(execution_id id)
 {
     const std::lock_guard lock{mutex_};
-    running_.erase(id);
+    auto node = running_.extract(id);
+    if (node.empty()) {
+        return;
+    }
+    recent_.insert(std::move(node));
+    if (recent_.size() > most_recent) {
+        recent_.erase(recent_.begin());
+    }
 }
 
 std::size_t execution_table::active() const
--- a/modules/router/execution_table.h
+++ b/modules/router/execution_table.h
@@ -26,7 +26,7 @@
     };
 
     /// Registers a request, see execution_registry::begin. An `answered` request whose execution is
-    /// still in memory gets that as well.
+    /// still in memory gets that as well, with its parts as they were streamed.
     place begin(const execution_request& request, time_ms now);
 
     /// Calls a function with the registry; the lock is held meanwhile.
@@ -37,7 +37,7 @@
         return function(registry_);
     }
 
-    /// Removes an execution that has ended from the running ones.
+    /// Moves an execution that has ended from the running ones to the most recent ended ones.
     void ended(execution_id id);
 
     /// Executions that are accepted or sent.
@@ -51,6 +51,8 @@
     mutable std::mutex mutex_;
     execution_registry registry_;
     std::map<execution_id, std::shared_ptr<execution>> running_;
+    std::map<execution_id, std::shared_ptr<execution>>
+        recent_; ///< so that replays keep their parts
 };
 
 } // namespace jujubevalve
