--- a/modules/budget/demand_driven.cpp
+++ b/modules/budget/demand_driven.cpp
@@ -16,10 +16,10 @@
     const auto live = std::max<std::int64_t>(1, facts.live_instances);
     const auto bound =
         std::max<token_count>(0, facts.available) + std::max<token_count>(0, free) / live;
-    return std::max(std::min(wish(facts), bound), facts.request);
+    return std::max(std::min(uncapped_target(facts), bound), facts.request);
 }
 
-token_count demand_driven::wish(const grant_facts& facts) const
+token_count demand_driven::uncapped_target(const grant_facts& facts) const
 {
     const auto stock =
         static_cast<token_count>(facts.demand_per_ms * 2 * static_cast<double>(horizon_.count()));
@@ -32,7 +32,7 @@
 {
     const auto goal = target(facts, facts.free);
     const bool is_short =
-        facts.available < (wish(facts) + 1) / 2 || facts.shortage > facts.available;
+        facts.available < (uncapped_target(facts) + 1) / 2 || facts.shortage > facts.available;
     if (!is_short) {
         return -surplus(facts);
     }
--- a/modules/budget/demand_driven.h
+++ b/modules/budget/demand_driven.h
@@ -20,7 +20,7 @@
     [[nodiscard]] token_count target(const grant_facts& facts, token_count free) const;
 
 private:
-    [[nodiscard]] token_count wish(const grant_facts& facts) const;
+    [[nodiscard]] token_count uncapped_target(const grant_facts& facts) const;
     [[nodiscard]] token_count surplus(const grant_facts& facts) const;
 
     time_ms horizon_;
--- a/modules/router/server_pools.cpp
+++ b/modules/router/server_pools.cpp
@@ -120,7 +120,8 @@
     }
 }
 
-result<backend_choice> server_pools::choose(const std::string& server_set, const backend_wish& wish)
+result<backend_choice> server_pools::choose(const std::string& server_set,
+                                            const backend_query& query)
 {
     const std::lock_guard lock{mutex_};
     auto* const group = find(server_set);
@@ -128,7 +129,7 @@
         return failure{result_code::no_backend_server,
                        "no servers for pool \"" + server_set + "\""};
     }
-    return group->selector.choose(wish, clock_.now());
+    return group->selector.choose(query, clock_.now());
 }
 
 void server_pools::finished(const std::string& server_set, const std::string& server,
--- a/modules/router/server_pools.h
+++ b/modules/router/server_pools.h
@@ -44,7 +44,7 @@
     void release(const pool_slot& slot);
 
     /// Chooses a server and counts the request as in flight there; call `finished` afterwards.
-    result<backend_choice> choose(const std::string& server_set, const backend_wish& wish);
+    result<backend_choice> choose(const std::string& server_set, const backend_query& query);
     void finished(const std::string& server_set, const std::string& server,
                   backend_selector::ending how);
 
--- a/modules/routing/backend_selector.h
+++ b/modules/routing/backend_selector.h
@@ -25,7 +25,7 @@
 };
 
 /// A request that needs a backend server.
-struct backend_wish {
+struct backend_query {
     std::string_view prompt_start;  ///< for prefix affinity; may be empty
     bool idempotent{true};          ///< only such requests serve as probes
     std::vector<std::string> tried; ///< servers that are not to be chosen again
@@ -50,14 +50,14 @@
     [[nodiscard]] const server_set& servers() const { return servers_; }
 
     /// Chooses a server and counts the request as in flight there. Fails with `no_backend_server`.
-    [[nodiscard]] result<backend_choice> choose(const backend_wish& wish, time_ms now);
+    [[nodiscard]] result<backend_choice> choose(const backend_query& query, time_ms now);
 
     /// How the request ended at the server. `neutral` says nothing about the server's health.
     enum class ending { succeeded, failed, neutral };
     void finished(std::string_view server, ending how, time_ms now);
 
 private:
-    [[nodiscard]] std::optional<server_index> probe(const backend_wish& wish,
+    [[nodiscard]] std::optional<server_index> probe(const backend_query& query,
                                                     const selection& choice);
 
     server_set servers_;
@@ -69,15 +69,16 @@
 using backend_selector = basic_backend_selector<affinity_bounded_load>;
 
 template <selector_policy Policy>
-result<backend_choice> basic_backend_selector<Policy>::choose(const backend_wish& wish, time_ms now)
+result<backend_choice> basic_backend_selector<Policy>::choose(const backend_query& query,
+                                                              time_ms now)
 {
-    selection choice{hash64(wish.prompt_start), {}, now};
-    for (const auto& name : wish.tried) {
+    selection choice{hash64(query.prompt_start), {}, now};
+    for (const auto& name : query.tried) {
         if (const auto server = servers_.find(name)) {
             choice.tried.push_back(*server);
         }
     }
-    const auto probed = probe(wish, choice);
+    const auto probed = probe(query, choice);
     const auto server = probed ? probed : policy_.pick(servers_, choice, random_);
     if (!server) {
         return failure{result_code::no_backend_server,
@@ -89,10 +90,10 @@
 }
 
 template <selector_policy Policy>
-std::optional<server_index> basic_backend_selector<Policy>::probe(const backend_wish& wish,
+std::optional<server_index> basic_backend_selector<Policy>::probe(const backend_query& query,
                                                                   const selection& choice)
 {
-    if (!wish.idempotent || !choice.tried.empty()) {
+    if (!query.idempotent || !choice.tried.empty()) {
         return std::nullopt;
     }
     return servers_.take_probe(choice.now);
