--- a/modules/experiment/sim_budget.cpp
+++ b/modules/experiment/sim_budget.cpp
@@ -117,9 +117,9 @@
         owner_, holder,
         [to = book_.incarnation(), item](sim_router& peer) {
             auto& budgets = peer.budgets();
-            const auto spare = budgets.book().available(item.budget) / 2;
-            const auto amount = std::min(item.tokens, spare);
-            return amount > 0 ? budgets.transfers().send(to, item.budget, amount) : std::nullopt;
+            // A part of what a request needs would help neither side.
+            const bool enough = budgets.book().available(item.budget) >= item.tokens;
+            return enough ? budgets.transfers().send(to, item.budget, item.tokens) : std::nullopt;
         },
         [this, item, why, holder](const std::optional<offer>& reply) {
             if (!reply || !*reply) {
--- a/modules/router/transfer_service.cpp
+++ b/modules/router/transfer_service.cpp
@@ -9,9 +9,6 @@
 
 namespace
 {
-// A sender keeps at least this part of what it has available for its own callers.
-constexpr token_count kept_divisor = 2;
-
 wire::transfer to_message(const transfer& item)
 {
     wire::transfer message;
@@ -93,9 +90,9 @@
 {
     wire::transfer_reply reply;
     const auto sent = budgets_.with_book([&](grant_book& book) {
-        const auto spare = book.available(request.budget) / kept_divisor;
-        const auto amount = std::min<token_count>(request.amount, spare);
-        return amount > 0 ? book_.send(request.receiver, request.budget, amount) : std::nullopt;
+        // A part of what a request needs would help neither side.
+        const bool enough = request.amount > 0 && book.available(request.budget) >= request.amount;
+        return enough ? book_.send(request.receiver, request.budget, request.amount) : std::nullopt;
     });
     if (!sent) {
         reply.code = static_cast<int>(result_code::budget_exhausted);
