--- a/modules/budget/demand_driven.h
+++ b/modules/budget/demand_driven.h
@@ -5,7 +5,7 @@
 namespace jujubevalve
 {
 
-/// Keeps a horizon of demand in stock, less when little of the budget is free.
+/// Keeps tokens for two horizons of demand available, fewer when little of the budget is free.
 class demand_driven
 {
 public:
