--- a/apps/experiment/main.cpp
+++ b/apps/experiment/main.cpp
@@ -1,5 +1,6 @@
 #include "experiment/scenario.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 #include <iostream>
@@ -68,8 +69,18 @@
 
 int main(int argc, char** argv)
 {
+    const std::vector<std::string> arguments{argv + 1, argv + argc};
+    if (std::find(arguments.begin(), arguments.end(), "--help") != arguments.end()) {
+        std::cout
+            << "jujubevalve-experiment SCENARIO [--deployment braithwaite|braeside] [--seed N] "
+               "[--policy NAME] [--json]\n"
+               "jujubevalve-experiment --list   names the scenarios and policies\n"
+               "Exit codes: 0 every promise kept, 1 one broken, 2 wrong usage.\n"
+               "Example: jujubevalve-experiment steady --deployment braeside --seed 1 --json\n";
+        return 0;
+    }
     std::vector<std::string> names;
-    if (!parse({argv + 1, argv + argc}, names)) {
+    if (!parse(arguments, names)) {
         return exit_usage;
     }
     if (FLAGS_list) {
