--- a/apps/ctl/ctl_context.h
+++ b/apps/ctl/ctl_context.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/time_ms.h"
-#include "platform/http_platform.h"
+#include "storage/http_platform.h"
 
 #include <functional>
 
--- a/apps/ctl/fleet_rows.h
+++ b/apps/ctl/fleet_rows.h
@@ -2,7 +2,7 @@
 
 #include "core/result.h"
 #include "core/tokens.h"
-#include "platform/http_platform.h"
+#include "storage/http_platform.h"
 
 #include <cstdint>
 #include <map>
--- a/apps/ctl/view_commands.cpp
+++ b/apps/ctl/view_commands.cpp
@@ -4,7 +4,7 @@
 #include "ctl/fleet_rows.h"
 #include "ctl/row_differences.h"
 #include "ctl/text_table.h"
-#include "platform/platform_codec.h"
+#include "storage/platform_codec.h"
 
 #include <algorithm>
 #include <fmt/format.h>
--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -17,7 +17,7 @@
 # without its tests that KNOWN-RED.txt lists.
 function(jujubevalve_tests name dir)
   file(GLOB test_sources CONFIGURE_DEPENDS ${dir}/*.cpp)
-  if(NOT test_sources)
+  if(NOT test_sources OR JUJUBEVALVE_GATEWAY_ONLY)
     return()
   endif()
   add_executable(${name} ${test_sources} ${CMAKE_SOURCE_DIR}/cmake/test_main.cpp)
--- a/modules/budget/grant_book.h
+++ b/modules/budget/grant_book.h
@@ -5,7 +5,7 @@
 #include "budget/grant_row.h"
 #include "budget/segment.h"
 #include "core/core.h"
-#include "platform/table_store.h"
+#include "storage/table_store.h"
 
 #include <cstdint>
 #include <map>
--- a/modules/config/apply_planner.h
+++ b/modules/config/apply_planner.h
@@ -5,7 +5,7 @@
 #include "config/config_rows.h"
 #include "core/result.h"
 #include "core/time_ms.h"
-#include "platform/table_store.h"
+#include "storage/table_store.h"
 
 #include <cstdint>
 #include <map>
--- a/modules/config/config_codec.h
+++ b/modules/config/config_codec.h
@@ -3,7 +3,7 @@
 #include "config/config_log_entry.h"
 #include "config/config_snapshot.h"
 #include "core/result.h"
-#include "platform/table_store.h"
+#include "storage/table_store.h"
 
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
--- a/modules/config/config_loader.h
+++ b/modules/config/config_loader.h
@@ -2,7 +2,7 @@
 
 #include "config/config_codec.h"
 #include "config/config_rows.h"
-#include "platform/table_store.h"
+#include "storage/table_store.h"
 
 #include <cstddef>
 
--- /dev/null
+++ b/modules/gateway/call.cpp
@@ -0,0 +1,694 @@
+#include "gateway/call.h"
+
+#include "platform/call_codec.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdio>
+#include <utility>
+
+namespace jujubevalve
+{
+
+namespace
+{
+/// A server that does not accept a connection within this time counts as unreachable; several
+/// round trips within a region.
+constexpr time_ms connect_limit{300};
+/// Connections that may fail before the request is refused.
+constexpr int most_connect_failures = 4;
+/// Wait for an answer to an idempotent call, in multiples of its objective, before it is sent to
+/// another server.
+constexpr int patience_in_objectives = 2;
+/// A resumable stream that pauses for this many of its allowed gaps goes on at another server.
+constexpr int stall_in_gaps = 6;
+/// Longest wait for tokens from the store; a few conditional writes.
+constexpr time_ms grant_wait{400};
+/// Least time that must be left for another attempt.
+constexpr time_ms least_attempt{30};
+/// A request that must not run twice is not sent on a connection that was idle for longer, as the
+/// server may be closing it.
+constexpr time_ms fresh_connection{1000};
+constexpr time_ms any_connection{3'600'000};
+/// Largest answer that is held back until it is complete.
+constexpr std::size_t most_buffered = 8 * 1024 * 1024;
+/// A caller that has not taken this much is given up.
+constexpr std::size_t most_unsent = 4 * 1024 * 1024;
+/// Range of the pause that a refused caller is asked to make; callers return spread over it.
+constexpr time_ms least_pause{100};
+constexpr time_ms most_pause{600};
+constexpr int default_priority = 5;
+
+bool is_success(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+// A status that promises the caller that its request has not run.
+bool promises_not_run(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+void append_chunk(std::string& out, std::string_view bytes)
+{
+    std::array<char, 20> size{};
+    const auto n = std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+    out.append(size.data(), static_cast<std::size_t>(n)).append(bytes).append("\r\n");
+}
+
+std::optional<std::int64_t> event_number(std::string_view id)
+{
+    std::int64_t number = 0;
+    const auto parsed = std::from_chars(id.data(), id.data() + id.size(), number);
+    return parsed.ec == std::errc{} && parsed.ptr == id.data() + id.size() && !id.empty()
+               ? std::optional{number}
+               : std::nullopt;
+}
+} // namespace
+
+call::call(call_context& context, caller_port& caller, http_head head, std::string body)
+    : context_{context}
+    , caller_{caller}
+    , head_{std::move(head)}
+    , body_{std::move(body)}
+    , received_at_{context.loop.now()}
+    , deadline_{received_at_}
+{
+}
+
+call::~call()
+{
+    context_.loop.cancel(deadline_timer_);
+    context_.loop.cancel(attempt_timer_);
+}
+
+void call::start()
+{
+    context_.metrics.count("requests");
+    auto request = decode_call(head_);
+    if (!request) {
+        refuse(request.why().code, 400, request.why().message);
+        return;
+    }
+    request_ = std::move(request).value();
+    if (!authorise()) {
+        return;
+    }
+    deadline_ = received_at_ + std::min(request_.time_limit.value_or(route_->timeout),
+                                        route_->timeout);
+    deadline_timer_ = context_.loop.schedule(time_left(), [this] {
+        deadline_timer_ = 0;
+        deadline_passed();
+    });
+    context_.retries_of(service_).add_request(received_at_);
+    if (request_.generation && !account_.empty() && context_.grants.is_limited(account_)) {
+        reserve_tokens();
+    } else {
+        dispatch();
+    }
+}
+
+bool call::authorise()
+{
+    config_ = context_.view.config();
+    if (!config_ || !context_.view.is_complete()) {
+        refuse(result_code::not_ready, 503, "this instance has no configuration yet",
+               pause_before_return());
+        return false;
+    }
+    route_ = config_->find_route(request_.host, request_.target);
+    if (route_ == nullptr) {
+        refuse(result_code::unknown_route, 404, "no route has this host and path");
+        return false;
+    }
+    priority_ = route_->priority;
+    if (config_->needs_keys() && !route_->is_public) {
+        const auto* const account = config_->find_account(request_.key);
+        if (account == nullptr) {
+            refuse(result_code::unauthenticated, 401, "the key is unknown");
+            return false;
+        }
+        account_ = account->name;
+        priority_ = account->priority.value_or(route_->priority);
+    }
+    std::int64_t total = 0;
+    for (const auto& item : route_->services) {
+        total += item.weight;
+    }
+    std::int64_t drawn =
+        total > 0 ? std::uniform_int_distribution<std::int64_t>{0, total - 1}(context_.random) : 0;
+    for (const auto& item : route_->services) {
+        service_ = item.service;
+        drawn -= item.weight;
+        if (drawn < 0) {
+            break;
+        }
+    }
+    return true;
+}
+
+void call::reserve_tokens()
+{
+    const auto wait = std::min(grant_wait, time_left());
+    grant_waiter_ = context_.grants.reserve(
+        account_, request_.generation->most(), wait, [this](const reserve_outcome& outcome) {
+            grant_waiter_ = 0;
+            if (outcome) {
+                reservation_ = outcome.id;
+                dispatch();
+                return;
+            }
+            const bool exhausted = outcome.code == result_code::budget_exhausted;
+            refuse(outcome.code, exhausted ? 429 : 503,
+                   exhausted ? "the prepaid budget does not cover the request"
+                             : "no tokens of the prepaid budget can be had at present",
+                   pause_before_return());
+        });
+}
+
+void call::dispatch()
+{
+    const auto now = context_.loop.now();
+    const auto candidates = context_.view.servers().candidates(service_);
+    const auto* const generation = request_.generation ? &*request_.generation : nullptr;
+    auto* const server = context_.choice.choose(candidates, generation, tried_, now);
+    if (server == nullptr) {
+        if (state_ == run_state::not_run) {
+            refuse(result_code::no_backend_server, 503, "no backend server takes the request",
+                   pause_before_return());
+        } else {
+            fail_call("no further server");
+        }
+        return;
+    }
+    send_to(*server);
+}
+
+void call::send_to(server_state& server)
+{
+    server_id_ = server.entry.id;
+    server_address_ = server.entry.address;
+    tried_.push_back(server_id_);
+    const auto now = context_.loop.now();
+    unread_tokens_ =
+        request_.generation ? context_.choice.unread_tokens(server, *request_.generation, now) : 0;
+    forwarded_fields fields;
+    fields.time_left = time_left();
+    fields.expected_server = server_id_;
+    fields.account = account_;
+    if (request_.generation) {
+        fields.priority = std::clamp(priority_.value_or(default_priority), 0, 9);
+        context_.choice.remember(server, *request_.generation, now);
+    }
+    fields.resume_after = last_event_;
+    context_.view.servers().started(server_id_, unread_tokens_);
+
+    connection_ = context_.connections.take(server_address_,
+                                            may_run_again() ? any_connection : fresh_connection);
+    sent_at_ = now;
+    state_ = state_ == run_state::ran ? run_state::ran : run_state::sent;
+    ++attempts_;
+    in_stream_ = false;
+    response_body_.clear();
+    events_.clear();
+    if (!connection_->is_connected()) {
+        attempt_timer_ =
+            context_.loop.schedule(std::min(connect_limit, time_left()), [this] {
+                attempt_timer_ = 0;
+                connect_timed_out();
+            });
+    } else if (route_->kind == call_kind::idempotent) {
+        attempt_timer_ =
+            context_.loop.schedule(route_->objective * patience_in_objectives, [this] {
+                attempt_timer_ = 0;
+                no_answer_in_time();
+            });
+    }
+    connection_->send(encode_forwarded_call(head_, body_, fields), head_.method == "HEAD", *this);
+}
+
+void call::connect_timed_out()
+{
+    if (connection_->is_connected()) {
+        if (route_->kind == call_kind::idempotent) {
+            const auto patience = route_->objective * patience_in_objectives;
+            attempt_timer_ = context_.loop.schedule(
+                sent_at_ + patience - context_.loop.now(), [this] {
+                    attempt_timer_ = 0;
+                    no_answer_in_time();
+                });
+        }
+        return;
+    }
+    connection_->abandon();
+    on_exchange_failed(exchange_failure::not_connected);
+}
+
+void call::no_answer_in_time()
+{
+    if (!may_send_again(true)) {
+        return;
+    }
+    leave_server(server_verdict::unreachable);
+    state_ = run_state::ran;
+    dispatch();
+}
+
+bool call::on_response_head(const http_head& head)
+{
+    auto response = decode_response(head);
+    if (response.request_id && *response.request_id != request_.id) {
+        context_.metrics.count("answers_to_other_requests");
+        context_.log.write("stray_answer",
+                           log_fields{}
+                               .add("id", request_.id)
+                               .add("server", server_id_)
+                               .add("status", head.status),
+                           context_.loop.now());
+        return false;
+    }
+    response_ = std::move(response);
+    response_head_ = head;
+    if (response_.load) {
+        context_.view.servers().reported(server_id_, *response_.load, context_.loop.now());
+    }
+    in_stream_ = is_success(response_.status) && response_.is_event_stream &&
+                 response_.is_signed && !response_.encoded;
+    if (in_stream_) {
+        state_ = run_state::ran;
+        context_.loop.cancel(std::exchange(attempt_timer_, 0));
+        last_event_at_ = context_.loop.now();
+        watch_stream();
+    }
+    return true;
+}
+
+void call::on_response_body(std::string_view bytes)
+{
+    if (in_stream_) {
+        events_.add(bytes);
+        relay_events();
+        return;
+    }
+    if (response_body_.size() + bytes.size() > most_buffered) {
+        connection_->abandon();
+        on_exchange_failed(exchange_failure::broken_response);
+        return;
+    }
+    response_body_.append(bytes);
+}
+
+void call::relay_events()
+{
+    std::string out;
+    while (const auto event = events_.next()) {
+        const auto number = event_number(event->id);
+        const auto last = last_event_ ? event_number(*last_event_) : std::nullopt;
+        if (number && last && *number <= *last) {
+            continue; // the server repeats what the caller has
+        }
+        if (number && last && *number > *last + 1) {
+            lost_in_stream("events are missing");
+            return;
+        }
+        if (!std::exchange(head_forwarded_, true)) {
+            closing_ = caller_.must_close() || !head_.http_1_1;
+            out += encode_caller_head(response_head_, {std::nullopt, closing_, head_.http_1_1});
+            context_.metrics.observe("first_event", context_.loop.now() - received_at_);
+            context_.view.servers().prompt_read(server_id_, std::exchange(unread_tokens_, 0));
+        }
+        if (head_.http_1_1) {
+            append_chunk(out, event->bytes);
+        } else {
+            out.append(event->bytes);
+        }
+        ++events_sent_;
+        if (!event->id.empty()) {
+            last_event_ = std::string{event->id};
+        }
+    }
+    if (out.empty()) {
+        return;
+    }
+    last_event_at_ = context_.loop.now();
+    caller_.send(out);
+    if (caller_.unsent() > most_unsent) {
+        leave_server(server_verdict::neutral);
+        caller_.break_off();
+        end("caller too slow", 0);
+    }
+}
+
+void call::watch_stream()
+{
+    if (!route_->resumable || route_->event_gap.count() == 0) {
+        return;
+    }
+    const auto patience = route_->event_gap * stall_in_gaps;
+    attempt_timer_ =
+        context_.loop.schedule(last_event_at_ + patience - context_.loop.now(), [this, patience] {
+            attempt_timer_ = 0;
+            if (context_.loop.now() - last_event_at_ >= patience) {
+                stream_stalled();
+            } else {
+                watch_stream();
+            }
+        });
+}
+
+void call::stream_stalled()
+{
+    if (events_sent_ == 0 || !may_send_again(true)) {
+        last_event_at_ = context_.loop.now();
+        watch_stream();
+        return;
+    }
+    leave_server(server_verdict::unreachable);
+    dispatch();
+}
+
+void call::on_response_end()
+{
+    if (in_stream_) {
+        end_stream();
+        return;
+    }
+    if (response_.refused && promises_not_run(response_.status)) {
+        take_refusal(response_.status);
+    } else if (response_.encoded || (is_success(response_.status) && !response_.is_signed)) {
+        take_bad_answer("not the server's own answer");
+    } else {
+        take_plain_answer();
+    }
+}
+
+void call::take_refusal(int status)
+{
+    leave_server(status == 421 ? server_verdict::misdirected : server_verdict::refused);
+    if (state_ == run_state::sent) {
+        state_ = run_state::not_run;
+    }
+    if (may_send_again(false)) {
+        dispatch();
+        return;
+    }
+    if (state_ == run_state::not_run) {
+        refuse(result_code::overloaded, 503, "the backend servers are full", pause_before_return());
+    } else {
+        fail_call("refused after an earlier attempt");
+    }
+}
+
+void call::take_plain_answer()
+{
+    const auto status = response_.status;
+    if (status >= 500 || promises_not_run(status)) {
+        if (may_send_again(true)) {
+            leave_server(server_verdict::bad_answer);
+            state_ = run_state::ran;
+            dispatch();
+            return;
+        }
+        leave_server(server_verdict::bad_answer);
+        state_ = run_state::ran;
+        if (promises_not_run(status)) {
+            fail_call("the server's status would promise that the request has not run");
+            return;
+        }
+    } else {
+        context_.view.servers().answered_within(server_id_, context_.loop.now() - sent_at_);
+        leave_server(server_verdict::good);
+        state_ = run_state::ran;
+    }
+    forward_buffered();
+}
+
+void call::forward_buffered()
+{
+    closing_ = caller_.must_close() || !head_.http_1_1 || !head_.keep_alive;
+    auto out = encode_caller_head(response_head_, {response_body_.size(), closing_, true});
+    out.append(response_body_);
+    caller_.send(out);
+    caller_.finish(closing_);
+    end("answered", response_.status);
+}
+
+void call::take_bad_answer(std::string_view why)
+{
+    leave_server(server_verdict::bad_answer);
+    state_ = run_state::ran;
+    if (may_send_again(true)) {
+        dispatch();
+    } else {
+        fail_call(why);
+    }
+}
+
+void call::end_stream()
+{
+    if (events_.has_partial()) {
+        lost_in_stream("the stream ends inside an event");
+        return;
+    }
+    leave_server(server_verdict::good);
+    if (!std::exchange(head_forwarded_, true)) {
+        closing_ = caller_.must_close() || !head_.http_1_1;
+        caller_.send(encode_caller_head(response_head_, {std::nullopt, closing_, head_.http_1_1}));
+    }
+    if (head_.http_1_1) {
+        caller_.send("0\r\n\r\n");
+    }
+    caller_.finish(closing_);
+    end("answered", response_.status);
+}
+
+void call::lost_in_stream(std::string_view why)
+{
+    connection_->abandon();
+    leave_server(server_verdict::unreachable);
+    events_.clear();
+    if (may_send_again(true)) {
+        context_.log.write("stream_resumed",
+                           log_fields{}
+                               .add("id", request_.id)
+                               .add("after", last_event_.value_or(""))
+                               .add("why", why),
+                           context_.loop.now());
+        dispatch();
+        return;
+    }
+    fail_call(why);
+}
+
+void call::on_exchange_failed(exchange_failure failure)
+{
+    context_.log.write("attempt_failed",
+                       log_fields{}
+                           .add("id", request_.id)
+                           .add("server", server_id_)
+                           .add("failure", to_string(failure))
+                           .add("after_ms", context_.loop.now() - sent_at_)
+                           .add("reused", static_cast<int>(connection_->was_used())),
+                       context_.loop.now());
+    if (in_stream_) {
+        lost_in_stream(to_string(failure));
+        return;
+    }
+    leave_server(server_verdict::unreachable);
+    if (failure == exchange_failure::not_connected) {
+        if (state_ == run_state::sent) {
+            state_ = run_state::not_run;
+        }
+        --attempts_;
+        if (++connect_failures_ < most_connect_failures && time_left() > least_attempt) {
+            dispatch();
+            return;
+        }
+        if (state_ == run_state::not_run) {
+            refuse(result_code::no_backend_server, 503, "no backend server can be reached",
+                   pause_before_return());
+            return;
+        }
+        fail_call("no further server can be reached");
+        return;
+    }
+    state_ = run_state::ran;
+    if (may_send_again(true)) {
+        dispatch();
+    } else {
+        fail_call(to_string(failure));
+    }
+}
+
+bool call::may_send_again(bool may_have_run)
+{
+    if ((may_have_run && !may_run_again()) || attempts_ >= route_->max_attempts ||
+        time_left() < least_attempt) {
+        return false;
+    }
+    if (!context_.retries_of(service_).take(context_.loop.now())) {
+        context_.metrics.count("repeats_over_budget");
+        return false;
+    }
+    context_.metrics.count("repeats");
+    return true;
+}
+
+void call::leave_server(server_verdict verdict)
+{
+    context_.loop.cancel(std::exchange(attempt_timer_, 0));
+    if (server_id_.empty()) {
+        return;
+    }
+    auto& servers = context_.view.servers();
+    servers.prompt_read(server_id_, std::exchange(unread_tokens_, 0));
+    servers.ended(server_id_, verdict, context_.loop.now());
+    server_id_.clear();
+    drop_connection();
+}
+
+void call::drop_connection()
+{
+    if (!connection_) {
+        return;
+    }
+    if (!connection_->is_reusable()) {
+        connection_->abandon();
+    }
+    // The connection may be the one whose call is on the stack.
+    auto* const connection = connection_.release();
+    context_.loop.defer([&connections = context_.connections, connection,
+                         address = server_address_] {
+        connections.give_back(address, std::unique_ptr<http_exchange>{connection});
+    });
+}
+
+void call::deadline_passed()
+{
+    if (head_forwarded_) {
+        leave_server(server_verdict::neutral);
+        caller_.break_off();
+        end("time limit inside the stream", 0);
+        return;
+    }
+    const bool was_connected = connection_ && connection_->is_connected();
+    const bool unsent = state_ == run_state::not_run ||
+                        (state_ == run_state::sent && !was_connected);
+    leave_server(unsent ? server_verdict::neutral : server_verdict::unreachable);
+    if (unsent) {
+        state_ = run_state::not_run;
+        refuse(result_code::request_timeout, 503, "the time limit has passed before a server "
+                                                  "could be reached");
+    } else {
+        closing_ = caller_.must_close() || !head_.keep_alive;
+        state_ = run_state::ran;
+        caller_.send(encode_refusal(504, describe(result_code::backend_timeout).name,
+                                    "the backend server has not answered in time", std::nullopt,
+                                    closing_));
+        caller_.finish(closing_);
+        end("time limit", 504);
+    }
+}
+
+void call::refuse(result_code code, int status, std::string_view message,
+                  std::optional<time_ms> retry_after)
+{
+    closing_ = caller_.must_close() || !head_.keep_alive;
+    caller_.send(encode_refusal(status, describe(code).name, message, retry_after, closing_));
+    caller_.finish(closing_);
+    end(describe(code).name, status);
+}
+
+void call::fail_call(std::string_view why)
+{
+    if (head_forwarded_) {
+        caller_.break_off();
+        end(why, 0);
+        return;
+    }
+    closing_ = caller_.must_close() || !head_.keep_alive;
+    caller_.send(encode_refusal(502, describe(result_code::backend_lost).name, why, std::nullopt,
+                                closing_));
+    caller_.finish(closing_);
+    end(why, 502);
+}
+
+void call::caller_left()
+{
+    if (ended_) {
+        return;
+    }
+    if (connection_) {
+        connection_->abandon();
+    }
+    leave_server(server_verdict::neutral);
+    end("caller left", 0);
+}
+
+void call::end(std::string_view outcome, int status)
+{
+    if (std::exchange(ended_, true)) {
+        return;
+    }
+    context_.loop.cancel(std::exchange(deadline_timer_, 0));
+    context_.loop.cancel(std::exchange(attempt_timer_, 0));
+    if (grant_waiter_ != 0) {
+        context_.grants.cancel(std::exchange(grant_waiter_, 0));
+    }
+    settle();
+    const auto now = context_.loop.now();
+    context_.metrics.count("answers_" + std::to_string(status));
+    context_.metrics.observe("request", now - received_at_);
+    log_fields fields;
+    fields.add("id", request_.id)
+        .add("outcome", outcome)
+        .add("status", status)
+        .add("took_ms", now - received_at_)
+        .add("attempts", attempts_)
+        .add("connect_failures", connect_failures_)
+        .add("events", events_sent_)
+        .add("config", config_ ? config_->version() : 0)
+        .add("route", route_ != nullptr ? std::string_view{route_->name} : std::string_view{})
+        .add("account", account_)
+        .add("servers", tried_.empty() ? std::string_view{} : std::string_view{tried_.back()})
+        .add("store_reachable", static_cast<int>(context_.view.is_reachable()));
+    context_.log.write("call", fields, now);
+}
+
+void call::settle()
+{
+    if (reservation_ == 0) {
+        return;
+    }
+    const auto id = std::exchange(reservation_, 0);
+    if (state_ == run_state::not_run) {
+        context_.grants.release(id);
+        return;
+    }
+    const auto* const service = config_->find_service(service_);
+    const auto& generation = *request_.generation;
+    const bool complete = ended_ && in_stream_ && !events_.has_partial() && head_forwarded_;
+    if (!complete || service == nullptr || !service->engine) {
+        // What a server has delivered to a broken connection is not known.
+        context_.grants.settle_in_full(id);
+        return;
+    }
+    const auto delivered = std::min(generation.max_output_tokens,
+                                    events_sent_ * service->engine->tokens_per_event);
+    context_.grants.settle(id, generation.prompt_tokens + delivered);
+}
+
+time_ms call::time_left() const
+{
+    return std::max(deadline_ - context_.loop.now(), time_ms{0});
+}
+
+time_ms call::pause_before_return()
+{
+    std::uniform_int_distribution<std::int64_t> pause{least_pause.count(), most_pause.count()};
+    return time_ms{pause(context_.random)};
+}
+
+} // namespace jujubevalve
--- /dev/null
+++ b/modules/gateway/fleet_view.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "dispatch/entry_list.h"
+#include "dispatch/fleet_config.h"
+#include "dispatch/server_directory.h"
+#include "gateway/decision_log.h"
+#include "gateway/gateway_metrics.h"
+#include "gateway/gateway_settings.h"
+#include "gateway/table_follower.h"
+#include "net/event_loop.h"
+#include "platform/store_client.h"
+
+#include <functional>
+#include <string>
+
+namespace jujubevalve
+{
+
+/// What this process believes of the configuration, the servers and the other instances, kept up
+/// to date from the store; and its own beat there. A configuration version is never followed by
+/// an older one.
+class fleet_view
+{
+public:
+    fleet_view(event_loop& loop, store_client& store, decision_log& log, gateway_metrics& metrics,
+               const gateway_settings& settings, std::string incarnation);
+
+    /// Begins to read and to publish.
+    void start();
+
+    /// Called with each configuration that comes into force.
+    std::function<void(const fleet_config_ptr&)> on_config;
+
+    /// The configuration in force; null before the first.
+    [[nodiscard]] const fleet_config_ptr& config() const { return config_; }
+    [[nodiscard]] server_directory& servers() { return servers_; }
+
+    /// Whether the configuration and the servers are known.
+    [[nodiscard]] bool is_complete() const { return config_ && server_rows_.is_listed(); }
+
+    /// Whether the store answers.
+    [[nodiscard]] bool is_reachable() const { return reachable_; }
+
+    /// Addresses for callers.
+    [[nodiscard]] std::vector<std::string> entry_addresses() const;
+    [[nodiscard]] std::int64_t instance_count() const;
+
+    /// Whether this instance takes new callers; published at once when it changes.
+    void set_serving(bool serving);
+
+    /// Publishes that this instance is gone, when the process ends in order.
+    void withdraw(std::function<void()> done);
+
+private:
+    void take_config(const std::vector<stored_row>& rows);
+    void list_servers(const std::vector<stored_row>& rows);
+    void change_servers(const std::vector<stored_row>& rows);
+    void take_beats(const std::vector<stored_row>& rows);
+    void note_reached(bool reachable);
+    void tick();
+    void beat();
+
+    event_loop& loop_;
+    store_client& store_;
+    decision_log& log_;
+    gateway_metrics& metrics_;
+    std::string address_;
+    instance_beat own_;
+    fleet_config_ptr config_;
+    server_directory servers_;
+    entry_list entries_;
+    table_follower config_rows_;
+    table_follower server_rows_;
+    table_follower beat_rows_;
+    bool reachable_{false};
+    bool beat_in_flight_{false};
+    bool beat_again_{false};
+    time_ms next_beat_{};
+};
+
+} // namespace jujubevalve
--- /dev/null
+++ b/modules/gateway/front_connection.cpp
@@ -0,0 +1,251 @@
+#include "gateway/front_connection.h"
+
+#include "platform/call_codec.h"
+
+#include <utility>
+
+namespace jujubevalve
+{
+
+namespace
+{
+/// Bytes behind the present request that are kept; beyond, the caller is slowed down.
+constexpr std::size_t most_waiting_input = 64 * 1024;
+/// Longest time for a body to arrive after its head.
+constexpr time_ms body_limit{15'000};
+} // namespace
+
+front_connection::front_connection(call_context& context, int descriptor, local_answer local,
+                                   std::function<bool()> closing, std::function<void()> gone)
+    : context_{context}
+    , local_{std::move(local)}
+    , closing_{std::move(closing)}
+    , gone_{std::move(gone)}
+    , reader_{http_reader::kind::requests, limits().max_head_bytes, *this}
+    , stream_{std::make_unique<tcp_stream>(context.loop, static_cast<stream_listener&>(*this), descriptor,
+                                           silence_limits{})}
+{
+    await_request();
+}
+
+front_connection::~front_connection()
+{
+    context_.loop.cancel(timer_);
+}
+
+const caller_limits& front_connection::limits() const
+{
+    static const caller_limits defaults;
+    const auto& config = context_.view.config();
+    return config ? config->limits() : defaults;
+}
+
+bool front_connection::must_close() const
+{
+    return closing_();
+}
+
+void front_connection::await_request()
+{
+    context_.loop.cancel(timer_);
+    timer_ = context_.loop.schedule(limits().idle_timeout, [this] {
+        timer_ = 0;
+        shut(true);
+    });
+}
+
+void front_connection::close_if_idle()
+{
+    if (is_idle() && input_.empty()) {
+        shut(true);
+    }
+}
+
+void front_connection::on_received(std::string_view bytes)
+{
+    input_.append(bytes);
+    if (call_) {
+        if (input_.size() > most_waiting_input) {
+            stream_->set_reading(false);
+        }
+        return;
+    }
+    parse();
+}
+
+void front_connection::parse()
+{
+    if (parsing_) {
+        return;
+    }
+    parsing_ = true;
+    while (!shut_ && !call_ && !input_.empty()) {
+        const bool was_in_message = reader_.in_message();
+        const auto taken = reader_.feed(input_);
+        input_.erase(0, taken);
+        if (!was_in_message && reader_.in_message()) {
+            context_.loop.cancel(timer_);
+            timer_ = context_.loop.schedule(limits().head_timeout, [this] {
+                timer_ = 0;
+                reject(408, result_code::request_timeout, "the request did not arrive in time");
+            });
+        }
+        if (rejected_ || shut_) {
+            break;
+        }
+        if (reader_.state() == read_state::head_too_large) {
+            reject(431, result_code::request_too_large, "the header fields are too large");
+            break;
+        }
+        if (reader_.state() == read_state::malformed) {
+            reject(400, result_code::invalid_field, "the request is malformed");
+            break;
+        }
+        if (std::exchange(request_complete_, false)) {
+            handle_request();
+        }
+    }
+    parsing_ = false;
+}
+
+void front_connection::on_head(http_head head)
+{
+    head_ = std::move(head);
+    http_1_1_ = head_.http_1_1;
+    body_.clear();
+    context_.loop.cancel(timer_);
+    timer_ = context_.loop.schedule(body_limit, [this] {
+        timer_ = 0;
+        reject(408, result_code::request_timeout, "the request's body did not arrive in time");
+    });
+    if (head_.http_1_1 && same_header_name(head_.headers.get("Expect"), "100-continue")) {
+        stream_->write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+}
+
+void front_connection::on_body(std::string_view bytes)
+{
+    if (rejected_) {
+        return;
+    }
+    if (body_.size() + bytes.size() > limits().max_body_bytes) {
+        reject(413, result_code::request_too_large, "the body is too large");
+        return;
+    }
+    body_.append(bytes);
+}
+
+void front_connection::on_message_end()
+{
+    request_complete_ = true;
+}
+
+void front_connection::handle_request()
+{
+    context_.loop.cancel(std::exchange(timer_, 0));
+    if (head_.target.empty() || head_.target.front() != '/') {
+        reject(400, result_code::invalid_field, "the target is not a path");
+        return;
+    }
+    const bool close = must_close() || !head_.keep_alive;
+    if (const auto answer = local_(head_, close)) {
+        stream_->write(*answer);
+        finish(close);
+        return;
+    }
+    call_ = std::make_unique<call>(context_, static_cast<caller_port&>(*this), std::move(head_),
+                                   std::move(body_));
+    call_->start();
+}
+
+void front_connection::retire_call()
+{
+    if (!call_ || !call_->is_ended()) {
+        return;
+    }
+    auto* const ended = call_.release();
+    context_.loop.defer([ended] { delete ended; }); // NOLINT(cppcoreguidelines-owning-memory)
+}
+
+void front_connection::reject(int status, result_code code, std::string_view message)
+{
+    if (std::exchange(rejected_, true) || shut_) {
+        return;
+    }
+    context_.log.write("rejected",
+                       log_fields{}
+                           .add("status", status)
+                           .add("code", static_cast<int>(code))
+                           .add("why", message),
+                       context_.loop.now());
+    stream_->write(encode_refusal(status, describe(code).name, message, std::nullopt, true));
+    shut(true);
+}
+
+void front_connection::finish(bool close)
+{
+    if (shut_) {
+        return;
+    }
+    if (close) {
+        shut(true);
+        return;
+    }
+    reader_.next();
+    // The call is still on the stack: it is destroyed, and the next request read, afterwards.
+    context_.loop.defer([this] {
+        retire_call();
+        if (shut_) {
+            return;
+        }
+        stream_->set_reading(true);
+        await_request();
+        parse();
+    });
+}
+
+void front_connection::send(std::string_view bytes)
+{
+    if (stream_) {
+        stream_->write(bytes);
+    }
+}
+
+std::size_t front_connection::unsent() const
+{
+    return stream_ ? stream_->pending() : 0;
+}
+
+void front_connection::break_off()
+{
+    if (!http_1_1_ && stream_) {
+        // An orderly close would look like the end of the answer.
+        stream_->reset();
+    }
+    shut(true);
+}
+
+void front_connection::on_ended(stream_end /*how*/)
+{
+    if (call_) {
+        call_->caller_left();
+    }
+    shut(false);
+}
+
+void front_connection::shut(bool gently)
+{
+    if (std::exchange(shut_, true)) {
+        return;
+    }
+    context_.loop.cancel(std::exchange(timer_, 0));
+    if (gently) {
+        tcp_stream::close_gently(std::move(stream_));
+    }
+    context_.loop.defer([this] {
+        retire_call();
+        gone_();
+    });
+}
+
+} // namespace jujubevalve
--- /dev/null
+++ b/modules/gateway/front_connection.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "gateway/call.h"
+#include "gateway/call_context.h"
+#include "net/http_reader.h"
+#include "net/tcp_stream.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace jujubevalve
+{
+
+/// Answers requests to this instance itself. Returns a complete response, or nothing if the
+/// request is a caller's and goes to a server.
+using local_answer = std::function<std::optional<std::string>(const http_head&, bool close)>;
+
+/// A connection that someone has opened to this process. One request at a time; what comes behind
+/// it waits.
+class front_connection final : private stream_listener,
+                               private http_reader_listener,
+                               private caller_port
+{
+public:
+    /// `gone` is called once, deferred, when the connection can be destroyed.
+    front_connection(call_context& context, int descriptor, local_answer local,
+                     std::function<bool()> closing, std::function<void()> gone);
+    ~front_connection() override;
+
+    /// Whether no request is under way.
+    [[nodiscard]] bool is_idle() const { return !call_ && !reader_.in_message(); }
+
+    /// Closes it if it is idle.
+    void close_if_idle();
+
+private:
+    void on_received(std::string_view bytes) override;
+    void on_ended(stream_end how) override;
+    void on_head(http_head head) override;
+    void on_body(std::string_view bytes) override;
+    void on_message_end() override;
+
+    void send(std::string_view bytes) override;
+    [[nodiscard]] std::size_t unsent() const override;
+    [[nodiscard]] bool must_close() const override;
+    void finish(bool close) override;
+    void break_off() override;
+
+    void parse();
+    void handle_request();
+    void reject(int status, result_code code, std::string_view message);
+    void retire_call();
+    void await_request();
+    void shut(bool gently);
+    [[nodiscard]] const caller_limits& limits() const;
+
+    call_context& context_;
+    local_answer local_;
+    std::function<bool()> closing_;
+    std::function<void()> gone_;
+    http_reader reader_;
+    std::unique_ptr<tcp_stream> stream_;
+    std::string input_;
+    http_head head_;
+    std::string body_;
+    bool request_complete_{false};
+    bool rejected_{false};
+    bool parsing_{false};
+    bool http_1_1_{true};
+    std::unique_ptr<call> call_;
+    timer_id timer_{0};
+    bool shut_{false};
+};
+
+} // namespace jujubevalve
--- /dev/null
+++ b/modules/gateway/front_server.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "gateway/front_connection.h"
+#include "net/tcp_listener.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace jujubevalve
+{
+
+/// Accepts connections at one address.
+class front_server
+{
+public:
+    /// `local` answers requests to this instance itself; `closing` tells whether answers end their
+    /// connection.
+    front_server(call_context& context, local_answer local, std::function<bool()> closing);
+
+    /// Fails with `invalid_setting`.
+    [[nodiscard]] status open(const std::string& address);
+
+    /// Accepts no further connections; open ones go on.
+    void stop_accepting();
+
+    /// Closes connections without a request.
+    void close_idle();
+
+    [[nodiscard]] std::size_t connections() const { return connections_.size(); }
+    [[nodiscard]] bool has_requests() const;
+
+private:
+    void accept(int descriptor);
+
+    call_context& context_;
+    local_answer local_;
+    std::function<bool()> closing_;
+    tcp_listener listener_;
+    std::unordered_map<std::uint64_t, std::unique_ptr<front_connection>> connections_;
+    std::uint64_t last_id_{0};
+};
+
+} // namespace jujubevalve
--- /dev/null
+++ b/modules/gateway/gateway.cpp
@@ -0,0 +1,327 @@
+#include "gateway/gateway.h"
+
+#include "core/digest.h"
+#include "gateway/call_context.h"
+#include "gateway/front_server.h"
+#include "gateway/stop_sequence.h"
+#include "net/event_loop.h"
+#include "platform/call_codec.h"
+#include "platform/store_client.h"
+
+#include <array>
+#include <atomic>
+#include <csignal>
+#include <fcntl.h>
+#include <map>
+#include <unistd.h>
+#include <utility>
+
+namespace jujubevalve
+{
+
+namespace
+{
+/// Interval of house-keeping.
+constexpr time_ms upkeep_interval{500};
+
+// Written by the signal handler, read by the loop.
+std::atomic<int> signal_pipe{-1};
+
+extern "C" void pass_on_signal(int number)
+{
+    const auto byte = static_cast<char>(number);
+    if (::write(signal_pipe, &byte, 1) < 0) {
+        return; // the pipe is full, so the loop wakes up anyway
+    }
+}
+
+/// Hands signals to the event loop.
+class signal_reader final : private event_handler
+{
+public:
+    signal_reader(event_loop& loop, std::function<void(int)> handler)
+        : loop_{loop}
+        , handler_{std::move(handler)}
+    {
+        if (::pipe2(ends_.data(), O_NONBLOCK | O_CLOEXEC) != 0 ||
+            !loop_.watch(ends_[0], *this, {true, false})) {
+            return;
+        }
+        signal_pipe = ends_[1];
+        for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
+            std::signal(number, pass_on_signal);
+        }
+        std::signal(SIGPIPE, SIG_IGN);
+    }
+    ~signal_reader() override
+    {
+        loop_.unwatch(ends_[0]);
+        ::close(ends_[0]);
+        ::close(ends_[1]);
+    }
+
+private:
+    void on_readable() override
+    {
+        char number = 0;
+        while (::read(ends_[0], &number, 1) == 1) {
+            handler_(number);
+        }
+    }
+    void on_writable() override {}
+
+    event_loop& loop_;
+    std::function<void(int)> handler_;
+    std::array<int, 2> ends_{-1, -1};
+};
+
+account_budget_options budget_options()
+{
+    account_budget_options options;
+    options.timing.check_interval = seconds(2);
+    options.timing.retry_first = time_ms{20};
+    options.timing.retry_last = time_ms{500};
+    options.timing.exhausted_retry = time_ms{300};
+    return options;
+}
+
+server_choice_options choice_options(const gateway_settings& settings)
+{
+    server_choice_options options;
+    options.failure_domain = settings.failure_domain;
+    return options;
+}
+
+std::string make_incarnation(const std::string& instance)
+{
+    return instance + "-" + random_hex(8);
+}
+} // namespace
+
+class gateway::impl
+{
+public:
+    explicit impl(gateway_settings settings)
+        : settings_{std::move(settings)}
+        , incarnation_{make_incarnation(settings_.instance)}
+        , store_{loop_, {settings_.store}}
+        , view_{loop_, store_, log_, metrics_, settings_, incarnation_}
+        , grants_{loop_, store_, log_, metrics_, incarnation_, budget_options()}
+        , connections_{loop_}
+        , choice_{choice_options(settings_), hash64(incarnation_)}
+        , context_{loop_,  settings_,    log_,    metrics_,
+                   view_,  grants_,      connections_, choice_,
+                   std::minstd_rand{static_cast<std::minstd_rand::result_type>(
+                       hash64(incarnation_))},
+                   {}}
+        , callers_{context_, [](const http_head&, bool) { return std::nullopt; },
+                   [this] { return stopping_; }}
+        , readiness_{context_,
+                     [this](const http_head& head, bool close) { return ready(head, close); },
+                     [] { return false; }}
+        , directory_{context_,
+                     [this](const http_head& head, bool close) { return addresses(head, close); },
+                     [] { return false; }}
+        , metrics_server_{context_,
+                          [this](const http_head& /*head*/, bool close) {
+                              return std::optional{
+                                  simple_response(200, {}, metrics_.to_text(), close)};
+                          },
+                          [] { return false; }}
+        , signals_{loop_, [this](int number) { handle_signal(number); }}
+    {
+    }
+
+    status run()
+    {
+        const std::array<std::pair<front_server*, std::string>, 4> servers{
+            {{&callers_, settings_.listen},
+             {&readiness_, settings_.readiness_listen},
+             {&directory_, settings_.directory_listen},
+             {&metrics_server_, settings_.metrics_listen}}};
+        for (const auto& [server, address] : servers) {
+            if (address.empty()) {
+                continue;
+            }
+            if (auto opened = server->open(address); !opened) {
+                return opened;
+            }
+        }
+        log_.write("start",
+                   log_fields{}
+                       .add("instance", settings_.instance)
+                       .add("incarnation", incarnation_)
+                       .add("listen", settings_.listen),
+                   loop_.now());
+        view_.on_config = [this](const fleet_config_ptr& config) { take_limits(*config); };
+        view_.start();
+        upkeep();
+        loop_.run();
+        return success();
+    }
+
+private:
+    void take_limits(const fleet_config& config)
+    {
+        std::map<std::string, token_count> limits;
+        if (config.content().accounts) {
+            for (const auto& account : *config.content().accounts) {
+                if (account.prepaid) {
+                    limits.emplace(account.name, *account.prepaid);
+                }
+            }
+        }
+        grants_.set_limits(limits);
+        update_serving();
+    }
+
+    void update_serving() { view_.set_serving(!stopping_ && view_.is_complete()); }
+
+    std::optional<std::string> ready(const http_head& head, bool close)
+    {
+        if (!is_ready_call(head.target)) {
+            return encode_refusal(404, describe(result_code::unknown_path).name,
+                                  "no such path", std::nullopt, close);
+        }
+        const bool is_ready = view_.is_complete() && !stopping_;
+        return simple_response(is_ready ? 200 : 503, {}, {}, close);
+    }
+
+    std::optional<std::string> addresses(const http_head& head, bool close)
+    {
+        if (!is_address_call(head.target)) {
+            return encode_refusal(404, describe(result_code::unknown_path).name,
+                                  "no such path", std::nullopt, close);
+        }
+        const auto list = view_.entry_addresses();
+        if (list.empty()) {
+            return encode_refusal(503, describe(result_code::not_ready).name,
+                                  "no instance is known to serve", std::nullopt, close);
+        }
+        metrics_.count("address_answers");
+        return encode_addresses(list, settings_.address_ttl, close);
+    }
+
+    void upkeep()
+    {
+        update_serving();
+        connections_.close_idle();
+        const auto instances = view_.instance_count();
+        grants_.set_instances(instances);
+        for (auto& [service, budget] : context_.retry_budgets) {
+            budget.set_instances(instances);
+        }
+        grants_.run();
+        loop_.schedule(upkeep_interval, [this] { upkeep(); });
+    }
+
+    void handle_signal(int number)
+    {
+        if (number == SIGHUP) {
+            reload();
+        } else if (!stopping_) {
+            stop();
+        }
+    }
+
+    void reload()
+    {
+        auto settings = reload_gateway_settings();
+        log_fields fields;
+        if (!settings) {
+            log_.write("reload_failed", fields.add("why", settings.why().message), loop_.now());
+            return;
+        }
+        // Addresses and names stay until the next start.
+        settings_.address_ttl = settings->address_ttl;
+        settings_.stop_limit = settings->stop_limit;
+        settings_.retry_limit = settings->retry_limit;
+        log_.write("reload", fields, loop_.now());
+    }
+
+    void stop()
+    {
+        stopping_ = true;
+        const auto plan = plan_stop(settings_.stop_limit, settings_.address_ttl);
+        log_.write("stop",
+                   log_fields{}
+                       .add("connections", callers_.connections())
+                       .add("end_after_ms", plan.end_after),
+                   loop_.now());
+        update_serving();
+        loop_.schedule(plan.close_idle_after, [this] { callers_.close_idle(); });
+        loop_.schedule(plan.stop_accepting_after, [this] {
+            callers_.stop_accepting();
+            callers_.close_idle();
+            wait_for_end();
+        });
+        loop_.schedule(plan.end_after, [this] { end("limit"); });
+    }
+
+    // Ends early once no request is left.
+    void wait_for_end()
+    {
+        constexpr time_ms interval{50};
+        callers_.close_idle();
+        if (callers_.has_requests()) {
+            loop_.schedule(interval, [this] { wait_for_end(); });
+            return;
+        }
+        if (!closing_grants_) {
+            closing_grants_ = true;
+            grants_.begin_close();
+        }
+        if (grants_.is_closed()) {
+            end("done");
+            return;
+        }
+        loop_.schedule(interval, [this] { wait_for_end(); });
+    }
+
+    void end(const char* why)
+    {
+        if (std::exchange(ending_, true)) {
+            return;
+        }
+        log_.write("end",
+                   log_fields{}.add("why", why).add("connections", callers_.connections()),
+                   loop_.now());
+        view_.withdraw([this] { loop_.stop(); });
+        constexpr time_ms farewell{300};
+        loop_.schedule(farewell, [this] { loop_.stop(); });
+    }
+
+    gateway_settings settings_;
+    std::string incarnation_;
+    event_loop loop_;
+    decision_log log_;
+    gateway_metrics metrics_;
+    store_client store_;
+    fleet_view view_;
+    grant_service grants_;
+    server_connections connections_;
+    server_choice choice_;
+    call_context context_;
+    front_server callers_;
+    front_server readiness_;
+    front_server directory_;
+    front_server metrics_server_;
+    signal_reader signals_;
+    bool stopping_{false};
+    bool closing_grants_{false};
+    bool ending_{false};
+};
+
+gateway::gateway(gateway_settings settings)
+    : impl_{std::make_unique<impl>(std::move(settings))}
+{
+}
+
+gateway::~gateway() = default;
+
+status gateway::run()
+{
+    return impl_->run();
+}
+
+} // namespace jujubevalve
--- /dev/null
+++ b/modules/gateway/gateway_metrics.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "core/counters.h"
+#include "core/time_ms.h"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace jujubevalve
+{
+
+/// Counters and latency histograms of a gateway, as text.
+class gateway_metrics
+{
+public:
+    /// Adds to a counter.
+    void count(std::string_view name, std::int64_t by = 1);
+
+    /// Adds a duration to a histogram.
+    void observe(std::string_view name, time_ms duration);
+
+    /// All counters and histograms, one value on each line.
+    [[nodiscard]] std::string to_text() const;
+
+private:
+    /// Upper bounds of the histogram's buckets in milliseconds; a last bucket has no bound.
+    static constexpr std::array<std::int64_t, 12> bounds_{2,   5,   10,   25,   50,   100,
+                                                          250, 500, 1000, 2500, 5000, 10000};
+    struct histogram {
+        std::array<std::int64_t, bounds_.size() + 1> buckets{};
+        std::int64_t count{0};
+        std::int64_t sum_ms{0};
+    };
+
+    counters counters_;
+    std::map<std::string, histogram, std::less<>> histograms_;
+};
+
+} // namespace jujubevalve
--- /dev/null
+++ b/modules/gateway/gateway_settings.cpp
@@ -0,0 +1,98 @@
+#include "gateway/gateway_settings.h"
+
+#include "core/settings.h"
+
+#include <gflags/gflags.h>
+#include <iostream>
+
+DEFINE_string(settings, "", "path of a file with one --flag=value on each line");
+DEFINE_string(instance, "", "name of this instance, unique in the deployment");
+DEFINE_string(failure_domain, "", "failure domain of this instance");
+DEFINE_string(listen, "", "ip:port for callers");
+DEFINE_string(readiness_listen, "", "ip:port that answers whether this instance is ready");
+DEFINE_string(directory_listen, "", "ip:port that answers with addresses for callers; may be empty");
+DEFINE_string(metrics_listen, "", "ip:port of counters and histograms as text; may be empty");
+DEFINE_string(store, "", "ip:port of the platform's table store");
+DEFINE_int64(address_ttl_ms, 2000, "how long callers may keep addresses, 500 to 60000 ms");
+DEFINE_int64(stop_limit_ms, 8000, "longest time from SIGTERM to the end, 1000 to 600000 ms");
+DEFINE_int64(drain_time_ms, 2000, "time in which a leaving server gets no more work, ms");
+DEFINE_double(retry_ratio, 0.2, "repeats for each request of a service, whole fleet, 0 to 10");
+DEFINE_int64(retry_window_ms, 10000, "window of the bound on repeats, 1000 to 600000 ms");
+DEFINE_int64(retry_slack, 10, "repeats in a window beyond the ratio, whole fleet, 0 to 100000");
+
+namespace jujubevalve
+{
+
+namespace
+{
+settings_check check_flags()
+{
+    settings_check check;
+    check.required("instance", FLAGS_instance);
+    check.address("listen", FLAGS_listen);
+    check.address("readiness_listen", FLAGS_readiness_listen);
+    check.address("store", FLAGS_store);
+    if (!FLAGS_directory_listen.empty()) {
+        check.address("directory_listen", FLAGS_directory_listen);
+    }
+    if (!FLAGS_metrics_listen.empty()) {
+        check.address("metrics_listen", FLAGS_metrics_listen);
+    }
+    check.range("address_ttl_ms", FLAGS_address_ttl_ms, 500, 60'000);
+    check.range("stop_limit_ms", FLAGS_stop_limit_ms, 1000, 600'000);
+    check.range("drain_time_ms", FLAGS_drain_time_ms, 100, 600'000);
+    check.range("retry_window_ms", FLAGS_retry_window_ms, 1000, 600'000);
+    check.range("retry_slack", FLAGS_retry_slack, 0, 100'000);
+    if (FLAGS_retry_ratio < 0 || FLAGS_retry_ratio > 10) {
+        check.fail("retry_ratio", std::to_string(FLAGS_retry_ratio), "a number from 0 to 10");
+    }
+    return check;
+}
+
+gateway_settings from_flags()
+{
+    gateway_settings settings;
+    settings.instance = FLAGS_instance;
+    settings.failure_domain = FLAGS_failure_domain;
+    settings.listen = FLAGS_listen;
+    settings.readiness_listen = FLAGS_readiness_listen;
+    settings.directory_listen = FLAGS_directory_listen;
+    settings.metrics_listen = FLAGS_metrics_listen;
+    settings.store = FLAGS_store;
+    settings.address_ttl = time_ms{FLAGS_address_ttl_ms};
+    settings.stop_limit = time_ms{FLAGS_stop_limit_ms};
+    settings.drain_time = time_ms{FLAGS_drain_time_ms};
+    settings.retry_limit = {FLAGS_retry_ratio, time_ms{FLAGS_retry_window_ms}, FLAGS_retry_slack};
+    return settings;
+}
+} // namespace
+
+gateway_settings read_gateway_settings(int& argc, char** argv)
+{
+    read_settings("jujubevalve-gateway: routes callers' requests to backend servers", argc, argv);
+    if (!FLAGS_settings.empty() &&
+        !gflags::ReadFromFlagsFile(FLAGS_settings, argv[0], false)) {
+        std::cerr << "error: settings file " << FLAGS_settings << " is not valid\n";
+        std::exit(2);
+    }
+    check_flags().exit_on_error();
+    return from_flags();
+}
+
+result<gateway_settings> reload_gateway_settings()
+{
+    if (FLAGS_settings.empty()) {
+        return from_flags();
+    }
+    if (!gflags::ReadFromFlagsFile(FLAGS_settings, "jujubevalve-gateway", false)) {
+        return failure{result_code::invalid_setting,
+                       "settings file " + FLAGS_settings + " is not valid"};
+    }
+    const auto check = check_flags();
+    if (!check.errors().empty()) {
+        return failure{result_code::invalid_setting, check.errors().front()};
+    }
+    return from_flags();
+}
+
+} // namespace jujubevalve
--- /dev/null
+++ b/modules/gateway/grant_service.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "dispatch/account_budgets.h"
+#include "gateway/decision_log.h"
+#include "gateway/gateway_metrics.h"
+#include "net/event_loop.h"
+#include "platform/store_client.h"
+
+#include <functional>
+#include <list>
+#include <map>
+#include <string>
+
+namespace jujubevalve
+{
+
+/// Carries out what account_budgets plans, and lets requests wait for a refill that is under way.
+class grant_service
+{
+public:
+    /// Called with the reservation, or with the reason for its refusal.
+    using granted = std::function<void(const reserve_outcome&)>;
+
+    grant_service(event_loop& loop, store_client& store, decision_log& log,
+                  gateway_metrics& metrics, std::string incarnation,
+                  account_budget_options options);
+
+    void set_limits(const std::map<std::string, token_count>& limits);
+    [[nodiscard]] bool is_limited(std::string_view account) const
+    {
+        return budgets_.is_limited(account);
+    }
+
+    /// Sets tokens aside, at once or within `longest_wait`. Returns a number for cancel(), or 0 if
+    /// the answer has been given.
+    std::uint64_t reserve(const std::string& account, token_count tokens, time_ms longest_wait,
+                          granted answer);
+
+    /// The waiting request is gone; it gets no answer.
+    void cancel(std::uint64_t waiter);
+
+    void settle(reservation_id id, token_count used);
+    void settle_in_full(reservation_id id);
+    void release(reservation_id id);
+
+    /// Fleet size, for the division of what is left.
+    void set_instances(std::int64_t instances) { instances_ = instances; }
+
+    /// Plans and sends what is due. Call it often; it is also run after each reservation.
+    void run();
+
+    /// Returns what is not spent, as requests end.
+    void begin_close();
+    [[nodiscard]] bool is_closed() const { return budgets_.all_closed(); }
+
+private:
+    struct waiter {
+        std::uint64_t id{0};
+        std::string account;
+        token_count tokens{0};
+        time_ms until{};
+        granted answer;
+    };
+
+    void send(grant_write write);
+    void read_ledger(const std::string& account);
+    void serve_waiters(bool final_for_all);
+    void schedule_run(time_ms delay);
+
+    event_loop& loop_;
+    store_client& store_;
+    decision_log& log_;
+    gateway_metrics& metrics_;
+    account_budgets budgets_;
+    std::list<waiter> waiters_;
+    std::uint64_t last_waiter_{0};
+    std::int64_t instances_{1};
+    int in_flight_{0};
+    timer_id timer_{0};
+};
+
+} // namespace jujubevalve
--- /dev/null
+++ b/modules/gateway/server_connections.cpp
@@ -0,0 +1,67 @@
+#include "gateway/server_connections.h"
+
+#include <algorithm>
+
+namespace jujubevalve
+{
+
+namespace
+{
+/// Idle connections kept for each server.
+constexpr std::size_t kept_for_each_server = 16;
+/// Used where the server does not say how long it keeps an idle connection.
+constexpr time_ms default_idle_limit{4000};
+/// A request must reach the server before it closes the idle connection.
+constexpr time_ms idle_margin{400};
+} // namespace
+
+server_connections::server_connections(event_loop& loop)
+    : loop_{loop}
+{
+}
+
+time_ms server_connections::idle_limit(const http_exchange& connection) const
+{
+    const auto stated = connection.peer_idle_limit();
+    return (stated.count() == 0 ? default_idle_limit : stated) - idle_margin;
+}
+
+std::unique_ptr<http_exchange> server_connections::take(const std::string& address,
+                                                        time_ms longest_idle)
+{
+    const auto found = idle_.find(address);
+    while (found != idle_.end() && !found->second.empty()) {
+        auto connection = std::move(found->second.back());
+        found->second.pop_back();
+        const auto limit = std::min(longest_idle, idle_limit(*connection));
+        if (connection->is_reusable() && loop_.now() - connection->idle_since() < limit) {
+            return connection;
+        }
+    }
+    ++opened_;
+    // A server that is gone without a reset shows by its silence.
+    constexpr silence_limits limits{time_ms{2000}, time_ms{2000}, 2};
+    return std::make_unique<http_exchange>(loop_, address, limits);
+}
+
+void server_connections::give_back(const std::string& address,
+                                   std::unique_ptr<http_exchange> connection)
+{
+    auto& kept = idle_[address];
+    if (connection->is_reusable() && kept.size() < kept_for_each_server) {
+        kept.push_back(std::move(connection));
+    }
+}
+
+void server_connections::close_idle()
+{
+    for (auto& [address, kept] : idle_) {
+        std::erase_if(kept, [this](const auto& connection) {
+            return !connection->is_reusable() ||
+                   loop_.now() - connection->idle_since() >= idle_limit(*connection);
+        });
+    }
+    std::erase_if(idle_, [](const auto& item) { return item.second.empty(); });
+}
+
+} // namespace jujubevalve
--- /dev/null
+++ b/modules/gateway/server_connections.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "net/event_loop.h"
+#include "net/http_exchange.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace jujubevalve
+{
+
+/// Connections to servers that are kept for further requests.
+class server_connections
+{
+public:
+    explicit server_connections(event_loop& loop);
+
+    /// A connection to the address: an idle one that has been idle for less than `longest_idle`
+    /// and that the server should still keep open, or a new one.
+    [[nodiscard]] std::unique_ptr<http_exchange> take(const std::string& address,
+                                                      time_ms longest_idle);
+
+    /// Takes a connection back; one that can carry no further request is closed.
+    void give_back(const std::string& address, std::unique_ptr<http_exchange> connection);
+
+    /// Closes connections that have been idle for long. Call it about once a second.
+    void close_idle();
+
+    [[nodiscard]] std::int64_t opened() const { return opened_; }
+
+private:
+    [[nodiscard]] time_ms idle_limit(const http_exchange& connection) const;
+
+    event_loop& loop_;
+    std::map<std::string, std::vector<std::unique_ptr<http_exchange>>> idle_;
+    std::int64_t opened_{0};
+};
+
+} // namespace jujubevalve
--- /dev/null
+++ b/modules/net/http_reader.cpp
@@ -0,0 +1,219 @@
+#include "net/http_reader.h"
+
+#include <climits>
+#include <http_parser.h>
+#include <utility>
+
+namespace jujubevalve
+{
+
+class http_reader::impl
+{
+public:
+    impl(kind what, std::size_t max_head_bytes, http_reader_listener& listener)
+        : listener_{listener}
+        , type_{what == kind::requests ? HTTP_REQUEST : HTTP_RESPONSE}
+        , max_head_bytes_{max_head_bytes}
+    {
+        restart();
+    }
+
+    void restart()
+    {
+        http_parser_init(&parser_, type_);
+        parser_.data = this;
+        head_ = {};
+        fields_.clear();
+        head_bytes_ = 0;
+        value_seen_ = false;
+        in_head_ = true;
+        in_message_ = false;
+        no_body_ = false;
+        state_ = read_state::reading;
+    }
+
+    std::size_t feed(const char* bytes, std::size_t size)
+    {
+        if (state_ != read_state::reading) {
+            return 0;
+        }
+        const auto taken = http_parser_execute(&parser_, &settings(), bytes, size);
+        if (HTTP_PARSER_ERRNO(&parser_) == HPE_PAUSED) {
+            // Paused inside the callback of the message's last byte.
+            state_ = read_state::message_ended;
+            return taken;
+        }
+        if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK || parser_.upgrade != 0) {
+            state_ = too_large_ ? read_state::head_too_large : read_state::malformed;
+        }
+        return taken;
+    }
+
+    read_state state_{read_state::reading};
+    bool in_message_{false};
+    bool no_body_{false};
+
+private:
+    static impl& self(http_parser* parser) { return *static_cast<impl*>(parser->data); }
+
+    static const http_parser_settings& settings()
+    {
+        static const http_parser_settings made = [] {
+            http_parser_settings s{};
+            s.on_message_begin = [](http_parser* p) {
+                self(p).in_message_ = true;
+                return 0;
+            };
+            s.on_url = [](http_parser* p, const char* at, std::size_t n) {
+                self(p).head_.target.append(at, n);
+                return self(p).count(n);
+            };
+            s.on_status = [](http_parser* p, const char* /*at*/, std::size_t n) {
+                return self(p).count(n);
+            };
+            s.on_header_field = [](http_parser* p, const char* at, std::size_t n) {
+                return self(p).add_name({at, n});
+            };
+            s.on_header_value = [](http_parser* p, const char* at, std::size_t n) {
+                return self(p).add_value({at, n});
+            };
+            s.on_headers_complete = [](http_parser* p) { return self(p).end_head(); };
+            s.on_body = [](http_parser* p, const char* at, std::size_t n) {
+                self(p).listener_.on_body({at, n});
+                return 0;
+            };
+            s.on_message_complete = [](http_parser* p) { return self(p).end_message(); };
+            return s;
+        }();
+        return made;
+    }
+
+    int count(std::size_t n)
+    {
+        head_bytes_ += n;
+        too_large_ = head_bytes_ > max_head_bytes_;
+        return too_large_ ? 1 : 0;
+    }
+
+    int add_name(std::string_view part)
+    {
+        if (!in_head_) {
+            return 0; // trailer fields are dropped
+        }
+        if (fields_.empty() || value_seen_) {
+            fields_.emplace_back();
+            value_seen_ = false;
+            head_bytes_ += 4; // colon, blank and line end
+        }
+        fields_.back().name.append(part);
+        return count(part.size());
+    }
+
+    int add_value(std::string_view part)
+    {
+        if (!in_head_) {
+            return 0;
+        }
+        value_seen_ = true;
+        fields_.back().value.append(part);
+        return count(part.size());
+    }
+
+    int end_head()
+    {
+        in_head_ = false;
+        head_.http_1_1 = parser_.http_major == 1 && parser_.http_minor >= 1;
+        head_.keep_alive = http_should_keep_alive(&parser_) != 0;
+        for (auto& field : fields_) {
+            const auto last = field.value.find_last_not_of(" \t");
+            field.value.resize(last == std::string::npos ? 0 : last + 1);
+        }
+        head_.headers = http_headers{std::exchange(fields_, {})};
+        if (type_ == HTTP_REQUEST) {
+            head_.method = http_method_str(static_cast<http_method>(parser_.method));
+        } else {
+            head_.status = static_cast<int>(parser_.status_code);
+            interim_ = head_.status < 200;
+            head_.until_close = http_message_needs_eof(parser_);
+        }
+        if (!interim_) {
+            listener_.on_head(std::exchange(head_, {}));
+        }
+        return no_body_ && !interim_ ? 1 : 0;
+    }
+
+    // http_parser keeps its own test private: a body without length and without chunks.
+    static bool http_message_needs_eof(const http_parser& parser)
+    {
+        const auto status = parser.status_code;
+        return status / 100 != 1 && status != 204 && status != 304 &&
+               (parser.flags & F_CHUNKED) == 0 && parser.content_length == ULLONG_MAX;
+    }
+
+    int end_message()
+    {
+        if (std::exchange(interim_, false)) {
+            in_head_ = true;
+            head_ = {};
+            return 0;
+        }
+        in_message_ = false;
+        http_parser_pause(&parser_, 1);
+        listener_.on_message_end();
+        return 0;
+    }
+
+    http_reader_listener& listener_;
+    http_parser_type type_;
+    std::size_t max_head_bytes_;
+    http_parser parser_{};
+    http_head head_;
+    std::vector<http_header> fields_;
+    std::size_t head_bytes_{0};
+    bool value_seen_{false};
+    bool in_head_{true};
+    bool interim_{false};
+    bool too_large_{false};
+};
+
+http_reader::http_reader(kind what, std::size_t max_head_bytes, http_reader_listener& listener)
+    : impl_{std::make_unique<impl>(what, max_head_bytes, listener)}
+{
+}
+
+http_reader::~http_reader() = default;
+
+std::size_t http_reader::feed(std::string_view bytes)
+{
+    return impl_->feed(bytes.data(), bytes.size());
+}
+
+void http_reader::feed_end()
+{
+    impl_->feed(nullptr, 0);
+    if (impl_->state_ == read_state::reading && impl_->in_message_) {
+        impl_->state_ = read_state::malformed;
+    }
+}
+
+void http_reader::expect_no_body()
+{
+    impl_->no_body_ = true;
+}
+
+void http_reader::next()
+{
+    impl_->restart();
+}
+
+read_state http_reader::state() const
+{
+    return impl_->state_;
+}
+
+bool http_reader::in_message() const
+{
+    return impl_->in_message_;
+}
+
+} // namespace jujubevalve
--- /dev/null
+++ b/modules/net/tcp_listener.cpp
@@ -0,0 +1,72 @@
+#include "net/tcp_listener.h"
+
+#include "net/socket_address.h"
+
+#include <ace/OS_NS_sys_socket.h>
+#include <ace/SOCK_Stream.h>
+#include <cstring>
+#include <utility>
+
+namespace jujubevalve
+{
+
+namespace
+{
+constexpr int backlog = 512;         ///< connections that wait to be accepted
+constexpr int accepts_per_round = 32; ///< so that a flood leaves time for open connections
+} // namespace
+
+tcp_listener::tcp_listener(event_loop& loop, accepted handler)
+    : loop_{loop}
+    , handler_{std::move(handler)}
+{
+}
+
+tcp_listener::~tcp_listener()
+{
+    close();
+}
+
+status tcp_listener::open(const std::string& address)
+{
+    const auto local = to_inet_address(address);
+    if (!local || acceptor_.open(*local, 1, PF_INET, backlog) != 0) {
+        return failure{result_code::invalid_setting, "cannot listen on " + address + ": " +
+                                                         (local ? std::strerror(errno) // NOLINT
+                                                                : "not an ip:port address")};
+    }
+    acceptor_.enable(ACE_NONBLOCK);
+    open_ = loop_.watch(acceptor_.get_handle(), *this, {true, false});
+    return open_ ? success()
+                 : status{failure{result_code::invalid_setting,
+                                  "too many descriptors to listen on " + address}};
+}
+
+int tcp_listener::port() const
+{
+    ACE_INET_Addr local;
+    return acceptor_.get_local_addr(local) == 0 ? local.get_port_number() : 0;
+}
+
+void tcp_listener::close()
+{
+    if (std::exchange(open_, false)) {
+        loop_.unwatch(acceptor_.get_handle());
+        acceptor_.close();
+    }
+}
+
+void tcp_listener::on_readable()
+{
+    for (int i = 0; i < accepts_per_round && open_; ++i) {
+        const auto descriptor = ACE_OS::accept(acceptor_.get_handle(), nullptr, nullptr);
+        if (descriptor < 0) {
+            return;
+        }
+        ACE_SOCK_Stream socket{descriptor};
+        socket.enable(ACE_NONBLOCK);
+        handler_(descriptor);
+    }
+}
+
+} // namespace jujubevalve
--- a/modules/platform/platform.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "platform/platform.h"
--- a/modules/recovery/grant_closing.h
+++ b/modules/recovery/grant_closing.h
@@ -3,7 +3,7 @@
 #include "budget/grant_row.h"
 #include "budget/ledger_row.h"
 #include "core/result.h"
-#include "platform/table_store.h"
+#include "storage/table_store.h"
 
 #include <map>
 #include <set>
--- a/modules/recovery/recovery_command.h
+++ b/modules/recovery/recovery_command.h
@@ -3,7 +3,7 @@
 #include "budget/segment.h"
 #include "budget/transfer_book.h"
 #include "core/result.h"
-#include "platform/table_store.h"
+#include "storage/table_store.h"
 
 #include <cstdint>
 #include <optional>
--- a/modules/router/budget_service.h
+++ b/modules/router/budget_service.h
@@ -2,7 +2,7 @@
 
 #include "budget/budget.h"
 #include "config/config.h"
-#include "platform/http_platform.h"
+#include "storage/http_platform.h"
 #include "requests/server_sequence.h"
 
 #include <condition_variable>
--- a/modules/router/config_service.h
+++ b/modules/router/config_service.h
@@ -5,7 +5,7 @@
 #include "config/config_loader.h"
 #include "membership/membership.h"
 #include "peer/peer.h"
-#include "platform/http_platform.h"
+#include "storage/http_platform.h"
 #include "routing/router_match.h"
 
 #include <functional>
--- a/modules/router/instance_directory.h
+++ b/modules/router/instance_directory.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "budget/budget.h"
-#include "platform/http_platform.h"
+#include "storage/http_platform.h"
 #include "requests/key_home.h"
 #include "router/membership_service.h"
 
--- a/modules/router/recovery_service.h
+++ b/modules/router/recovery_service.h
@@ -2,7 +2,7 @@
 
 #include "backend/backend_client.h"
 #include "peer/peer.h"
-#include "platform/http_platform.h"
+#include "storage/http_platform.h"
 #include "recovery/recovery.h"
 #include "router/config_service.h"
 #include "router/instance_directory.h"
--- a/modules/standins/memory_instance_list.h
+++ b/modules/standins/memory_instance_list.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/time_ms.h"
-#include "platform/instance_list.h"
+#include "storage/instance_list.h"
 #include "standins/memory_faults.h"
 
 #include <functional>
--- a/modules/standins/memory_object_store.h
+++ b/modules/standins/memory_object_store.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/object_store.h"
+#include "storage/object_store.h"
 #include "standins/memory_faults.h"
 
 #include <map>
--- a/modules/standins/memory_table_store.h
+++ b/modules/standins/memory_table_store.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/table_store.h"
+#include "storage/table_store.h"
 #include "standins/memory_faults.h"
 
 #include <map>
--- a/modules/standins/platform_server.cpp
+++ b/modules/standins/platform_server.cpp
@@ -3,7 +3,7 @@
 #include "core/clock.h"
 #include "core/digest.h"
 #include "http/http_server.h"
-#include "platform/platform_codec.h"
+#include "storage/platform_codec.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
--- a/modules/standins/tests/platform_server_tests.cpp
+++ b/modules/standins/tests/platform_server_tests.cpp
@@ -1,6 +1,6 @@
 #include "core/core.h"
 #include "http/http.h"
-#include "platform/platform.h"
+#include "storage/storage.h"
 #include "standins/platform_server.h"
 
 #include <arpa/inet.h>
--- a/modules/platform/http_platform.cpp
+++ b/modules/storage/http_platform.cpp
@@ -1,7 +1,7 @@
-#include "platform/http_platform.h"
+#include "storage/http_platform.h"
 
 #include "http/http_client.h"
-#include "platform/platform_codec.h"
+#include "storage/platform_codec.h"
 
 #include <fmt/format.h>
 
--- a/modules/platform/http_platform.h
+++ b/modules/storage/http_platform.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "core/time_ms.h"
-#include "platform/instance_list.h"
-#include "platform/object_store.h"
-#include "platform/table_store.h"
+#include "storage/instance_list.h"
+#include "storage/object_store.h"
+#include "storage/table_store.h"
 
 #include <memory>
 #include <string>
--- a/modules/platform/platform_codec.cpp
+++ b/modules/storage/platform_codec.cpp
@@ -1,4 +1,4 @@
-#include "platform/platform_codec.h"
+#include "storage/platform_codec.h"
 
 #include <algorithm>
 #include <cstdint>
--- a/modules/platform/platform_codec.h
+++ b/modules/storage/platform_codec.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/instance_list.h"
-#include "platform/table_store.h"
+#include "storage/instance_list.h"
+#include "storage/table_store.h"
 
 #include <string>
 #include <string_view>
--- /dev/null
+++ b/modules/storage/storage.cpp
@@ -0,0 +1,1 @@
+#include "storage/storage.h"
--- /dev/null
+++ b/modules/storage/storage.h
@@ -0,0 +1,8 @@
+#pragma once
+
+/// Umbrella header of the platform module: ports of the platform's services and their adapters.
+#include "storage/http_platform.h"
+#include "storage/instance_list.h"
+#include "storage/object_store.h"
+#include "storage/platform_codec.h"
+#include "storage/table_store.h"
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -2,7 +2,7 @@
 
 #include "budget/budget.h"
 #include "config/config.h"
-#include "platform/http_platform.h"
+#include "storage/http_platform.h"
 #include "process/child_process.h"
 #include "process/polling.h"
 
