--- a/modules/dispatch/account_budgets.h
+++ b/modules/dispatch/account_budgets.h
@@ -16,8 +16,8 @@
 
 /// Settings of account_budgets.
 struct account_budget_options {
-    time_ms horizon{6000};        ///< demand that a grant covers; twice this is kept in stock
-    std::int64_t limit_divisor{16}; ///< one grant holds at most this part of a budget
+    time_ms horizon{10'000};        ///< demand that a grant covers; twice this is kept in stock
+    std::int64_t limit_divisor{10}; ///< one grant holds at most this part of a budget
     refill_timing timing{};
 };
 
--- /dev/null
+++ b/modules/dispatch/tests/account_budgets_tests.cpp
@@ -0,0 +1,205 @@
+#include "dispatch/account_budgets.h"
+
+#include <CppUTest/TestHarness.h>
+#include <map>
+#include <memory>
+#include <string>
+
+using namespace jujubevalve;
+
+namespace
+{
+/// The rows of the store, with conditional writes.
+class fake_rows
+{
+public:
+    commit_result commit(const transaction& change, std::vector<table_row>& current)
+    {
+        commit_result done;
+        for (const auto& condition : change.conditions) {
+            auto& row = rows_[condition.key];
+            row.key = condition.key;
+            current.push_back(row);
+            if (row.version != condition.version) {
+                done.conflicts.push_back(condition.key);
+            }
+        }
+        if (!done.conflicts.empty()) {
+            done.outcome = commit_outcome::conflict;
+            return done;
+        }
+        ++version_;
+        for (const auto& write : change.writes) {
+            rows_[write.key] = {write.key, write.value, version_};
+            done.versions.push_back(version_);
+        }
+        done.outcome = commit_outcome::committed;
+        return done;
+    }
+
+    [[nodiscard]] std::vector<table_row> read(const std::string& key) const
+    {
+        const auto found = rows_.find(key);
+        return found == rows_.end() ? std::vector<table_row>{} : std::vector{found->second};
+    }
+
+private:
+    std::map<std::string, table_row> rows_;
+    std::int64_t version_{0};
+};
+} // namespace
+
+TEST_GROUP(account_budgets)
+{
+    static constexpr token_count limit = 100'000;
+    fake_rows rows;
+    time_ms now{100'000};
+
+    static account_budget_options options()
+    {
+        account_budget_options made;
+        made.timing.retry_first = time_ms{10};
+        made.timing.retry_last = time_ms{100};
+        made.timing.exhausted_retry = time_ms{100};
+        made.timing.check_interval = seconds(1);
+        return made;
+    }
+
+    std::unique_ptr<account_budgets> instance(const std::string& name)
+    {
+        auto made = std::make_unique<account_budgets>(name, options());
+        made->set_limits({{"crew", limit}});
+        return made;
+    }
+
+    /// Carries out every step that is due. With `lose_answers` writes apply and go unanswered.
+    void settle_steps(account_budgets& budgets, bool reachable = true, bool lose_answers = false)
+    {
+        for (int i = 0; i < 20; ++i) {
+            const auto step = budgets.next_step(2, now);
+            if (step.read_ledger) {
+                budgets.rows_read(rows.read(account_budgets::ledger_row_key(*step.read_ledger)),
+                                  now);
+            } else if (step.write) {
+                std::vector<table_row> current;
+                commit_result outcome{commit_outcome::unavailable, {}, {}};
+                if (reachable) {
+                    outcome = rows.commit(step.write->planned.change, current);
+                }
+                if (lose_answers) {
+                    outcome = {commit_outcome::unknown, {}, {}};
+                    current.clear();
+                }
+                budgets.committed(*step.write, outcome, current, now);
+            }
+            now = now + time_ms{20};
+        }
+    }
+
+    /// Spends in requests of the size until they are refused for a while; returns the sum.
+    token_count spend_all(account_budgets& budgets, token_count size, int tries = 400)
+    {
+        token_count spent = 0;
+        for (int i = 0; i < tries; ++i) {
+            const auto got = budgets.reserve("crew", size, now);
+            if (got) {
+                budgets.settle(got.id, size, now);
+                spent += size;
+            }
+            settle_steps(budgets);
+        }
+        return spent;
+    }
+};
+
+// Guards against overspending by two instances that draw on one budget at a time.
+TEST(account_budgets, instances_together_stay_within_the_limit_and_use_it_up)
+{
+    const auto a = instance("a");
+    const auto b = instance("b");
+    token_count spent = 0;
+    for (int i = 0; i < 600; ++i) {
+        for (auto* const budgets : {a.get(), b.get()}) {
+            if (const auto got = budgets->reserve("crew", 700, now)) {
+                budgets->settle(got.id, 700, now);
+                spent += 700;
+            }
+            settle_steps(*budgets);
+        }
+    }
+    CHECK(spent <= limit);
+    CHECK(spent >= limit * 97 / 100);
+}
+
+// Guards against counting a grant twice, or losing it, when the answer to its write is lost.
+TEST(account_budgets, a_lost_answer_neither_doubles_nor_loses_a_grant)
+{
+    const auto a = instance("a");
+    (void)a->reserve("crew", 1000, now);
+    settle_steps(*a, true, true);
+    now = now + seconds(1);
+    const auto b = instance("b");
+    const auto spent_a = spend_all(*a, 1000);
+    const auto spent_b = spend_all(*b, 1000);
+    CHECK(spent_a + spent_b <= limit);
+    CHECK(spent_a + spent_b >= limit * 95 / 100);
+}
+
+TEST(account_budgets, nothing_is_spent_without_a_grant)
+{
+    const auto a = instance("a");
+    const auto refused = a->reserve("crew", 1000, now);
+    CHECK(refused.id == 0);
+    settle_steps(*a, false);
+    CHECK(a->reserve("crew", 1000, now).id == 0);
+}
+
+// Guards against refusing everyone during an outage of the store that is as long as the horizon.
+TEST(account_budgets, an_outage_of_the_horizon_refuses_nobody_at_steady_demand)
+{
+    const auto a = std::make_unique<account_budgets>("a", options());
+    a->set_limits({{"crew", 10'000'000}});
+    const auto step = [&](bool reachable) {
+        bool granted = false;
+        if (const auto got = a->reserve("crew", 5000, now)) {
+            a->settle(got.id, 5000, now);
+            granted = true;
+        }
+        settle_steps(*a, reachable); // 400 ms
+        return granted;
+    };
+    for (int i = 0; i < 50; ++i) {
+        step(true);
+    }
+    for (int i = 0; i < 24; ++i) { // 9.6 s
+        CHECK(step(false));
+    }
+}
+
+// Guards against a raised limit that is noticed only after a restart.
+TEST(account_budgets, a_raised_limit_can_be_spent)
+{
+    const auto a = instance("a");
+    const auto before = spend_all(*a, 1000);
+    a->set_limits({{"crew", 2 * limit}});
+    const auto after = spend_all(*a, 1000);
+    CHECK(before <= limit);
+    CHECK(before + after <= 2 * limit);
+    CHECK(before + after >= 2 * limit * 95 / 100);
+}
+
+// Guards against stranding what a stopping instance has not spent.
+TEST(account_budgets, a_closed_instance_returns_what_is_left)
+{
+    const auto a = instance("a");
+    const auto got = a->reserve("crew", 1000, now);
+    CHECK(got.id == 0);
+    settle_steps(*a);
+    CHECK(a->reserve("crew", 1000, now).id != 0);
+    const auto b = instance("b");
+    a->begin_close();
+    settle_steps(*a);
+    CHECK_FALSE(a->all_closed()); // a request is still running
+    const auto spent = spend_all(*b, 1000);
+    CHECK(spent <= limit - 1000);
+}
--- /dev/null
+++ b/modules/dispatch/tests/dispatch_tests.cpp
@@ -0,0 +1,302 @@
+#include "dispatch/entry_list.h"
+#include "dispatch/fleet_config.h"
+#include "dispatch/fleet_retry_budget.h"
+#include "dispatch/server_choice.h"
+#include "dispatch/server_directory.h"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <map>
+#include <set>
+
+using namespace jujubevalve;
+
+namespace
+{
+server_entry entry(const std::string& id, const std::string& domain = "a")
+{
+    return {id, "models", "127.0.0.1:1", domain, 8, false, {}, 1};
+}
+
+generation_request prompt(std::uint64_t session, std::uint64_t own)
+{
+    return {9000, 50, {{1, 2500}, {session, 3800}, {own, 2700}}};
+}
+} // namespace
+
+TEST_GROUP(fleet_config)
+{
+    static call_route route(const std::string& name, const std::string& prefix)
+    {
+        call_route made;
+        made.name = name;
+        made.host = "host.example";
+        made.prefix = prefix;
+        made.services = {{"models", 1}};
+        return made;
+    }
+};
+
+TEST(fleet_config, takes_the_longest_prefix_of_the_host)
+{
+    const fleet_config config{{1, {route("short", "/a/"), route("long", "/a/b/")}, {}, {}, {}}};
+    STRCMP_EQUAL("long", config.find_route("host.example", "/a/b/c?x=/z/")->name.c_str());
+    STRCMP_EQUAL("short", config.find_route("HOST.example:80", "/a/bc/")->name.c_str());
+    POINTERS_EQUAL(nullptr, config.find_route("host.example", "/b/"));
+    POINTERS_EQUAL(nullptr, config.find_route("other.example", "/a/"));
+}
+
+// Guards against a query that looks like a longer path.
+TEST(fleet_config, does_not_match_the_query)
+{
+    const fleet_config config{{1, {route("long", "/a/b/")}, {}, {}, {}}};
+    POINTERS_EQUAL(nullptr, config.find_route("host.example", "/a?/b/"));
+}
+
+TEST(fleet_config, finds_accounts_by_key)
+{
+    fleet_config_content content;
+    content.accounts = {{{"crew", {"k1", "k2"}, 1, 500}}};
+    const fleet_config config{content};
+    STRCMP_EQUAL("crew", config.find_account("k2")->name.c_str());
+    POINTERS_EQUAL(nullptr, config.find_account("k3"));
+}
+
+TEST_GROUP(server_directory)
+{
+    server_directory servers;
+    time_ms now{100'000};
+
+    void setup() override { servers.replace_all({entry("s1"), entry("s2")}, now); }
+    [[nodiscard]] std::size_t usable() { return servers.candidates("models").size(); }
+};
+
+TEST(server_directory, drops_a_removed_entry_at_once_while_the_registry_is_reachable)
+{
+    servers.remove("s1", now);
+    CHECK_EQUAL(1U, usable());
+}
+
+// Guards against refusing everyone when entries lapsed only because the store was away.
+TEST(server_directory, keeps_lapsed_entries_until_living_servers_have_registered_again)
+{
+    servers.set_registry_reachable(false, now);
+    now = now + seconds(8);
+    servers.set_registry_reachable(true, now);
+    servers.replace_all({entry("s2")}, now);
+    CHECK_EQUAL(2U, usable());
+    now = now + seconds(1);
+    servers.put(entry("s1"), now);
+    now = now + seconds(2);
+    servers.expire(now);
+    CHECK_EQUAL(2U, usable());
+}
+
+TEST(server_directory, drops_lapsed_entries_that_do_not_return)
+{
+    servers.set_registry_reachable(false, now);
+    servers.set_registry_reachable(true, now);
+    servers.replace_all({entry("s2")}, now);
+    now = now + seconds(3);
+    servers.expire(now);
+    CHECK_EQUAL(1U, usable());
+}
+
+TEST(server_directory, sends_nothing_new_to_a_leaving_server)
+{
+    auto leaving = entry("s1");
+    leaving.leaving = true;
+    servers.put(leaving, now);
+    CHECK_EQUAL(1U, usable());
+}
+
+// Guards against judging a restarted server by its former life.
+TEST(server_directory, forgets_what_it_knew_of_an_earlier_incarnation)
+{
+    servers.ended("s1", server_verdict::unreachable, now);
+    servers.ended("s1", server_verdict::unreachable, now);
+    CHECK(servers.find("s1")->avoid_until > now);
+    auto restarted = entry("s1");
+    restarted.incarnation = 2;
+    servers.put(restarted, now);
+    CHECK_FALSE(servers.find("s1")->avoid_until > now);
+}
+
+TEST(server_directory, avoids_an_unreachable_server_for_longer_each_time)
+{
+    time_ms last{};
+    for (int i = 0; i < 4; ++i) {
+        servers.ended("s1", server_verdict::unreachable, now);
+        CHECK(servers.find("s1")->avoid_until >= last);
+        last = servers.find("s1")->avoid_until;
+    }
+    CHECK(last > now);
+    servers.ended("s1", server_verdict::good, now);
+    CHECK_FALSE(servers.find("s1")->avoid_until > now);
+}
+
+TEST_GROUP(server_choice)
+{
+    server_directory servers;
+    time_ms now{100'000};
+    server_choice choice{{}, 1};
+    server_choice other_instance{{}, 2};
+
+    void setup() override
+    {
+        std::vector<server_entry> entries;
+        for (int i = 0; i < 9; ++i) {
+            entries.push_back(entry("s" + std::to_string(i)));
+        }
+        servers.replace_all(entries, now);
+    }
+    std::string pick(server_choice& by, const generation_request* generation,
+                     const std::vector<std::string>& tried = {})
+    {
+        const auto* const server = by.choose(servers.candidates("models"), generation, tried, now);
+        return server == nullptr ? std::string{} : server->entry.id;
+    }
+};
+
+// Guards against each instance filling another server's memory with the same prompt parts.
+TEST(server_choice, instances_agree_on_the_server_of_a_session)
+{
+    std::set<std::string> used;
+    for (std::uint64_t session = 10; session < 60; ++session) {
+        const auto first = prompt(session, 1000 + session);
+        const auto second = prompt(session, 2000 + session);
+        const auto server = pick(choice, &first);
+        STRCMP_EQUAL(server.c_str(), pick(other_instance, &second).c_str());
+        used.insert(server);
+    }
+    CHECK(used.size() >= 7);
+}
+
+// Load pattern: one session gets much of the traffic (a hot key).
+TEST(server_choice, spreads_a_hot_session_over_more_servers)
+{
+    std::map<std::string, int> sent;
+    for (std::uint64_t i = 0; i < 60; ++i) {
+        const auto generation = prompt(10, 1000 + i);
+        const auto server = pick(choice, &generation);
+        ++sent[server];
+        servers.started(server, 2700);
+    }
+    CHECK(sent.size() >= 3);
+    const auto most = std::max_element(sent.begin(), sent.end(), [](const auto& a, const auto& b) {
+        return a.second < b.second;
+    });
+    CHECK(most->second <= 30);
+}
+
+TEST(server_choice, leaves_out_what_was_tried_and_avoids_failing_servers)
+{
+    const auto generation = prompt(10, 1);
+    const auto first = pick(choice, &generation);
+    const auto second = pick(choice, &generation, {first});
+    CHECK(first != second);
+    servers.ended(first, server_verdict::unreachable, now);
+    servers.ended(first, server_verdict::unreachable, now);
+    CHECK(pick(choice, &generation) != first);
+}
+
+// Guards against refusing requests because all servers failed a moment ago.
+TEST(server_choice, takes_an_avoided_server_rather_than_none)
+{
+    for (auto* const server : servers.candidates("models")) {
+        servers.ended(server->entry.id, server_verdict::unreachable, now);
+        servers.ended(server->entry.id, server_verdict::unreachable, now);
+    }
+    CHECK_FALSE(pick(choice, nullptr).empty());
+}
+
+TEST_GROUP(fleet_retry_budget)
+{
+    static int taken(int instances, int requests_each)
+    {
+        const fleet_retry_limit limit{0.2, seconds(10), 56};
+        int all = 0;
+        for (int i = 0; i < instances; ++i) {
+            fleet_retry_budget budget{limit};
+            budget.set_instances(instances);
+            for (int n = 0; n < requests_each; ++n) {
+                budget.add_request(time_ms{1000});
+            }
+            while (budget.take(time_ms{1000})) {
+                ++all;
+            }
+        }
+        return all;
+    }
+};
+
+// Guards against the fleet exceeding the bound when every server of a service fails.
+TEST(fleet_retry_budget, the_fleet_stays_within_the_bound)
+{
+    for (const int instances : {1, 8, 90, 450}) {
+        for (const int requests : {0, 10, 300}) {
+            CHECK(taken(instances, requests) <= 0.2 * instances * requests + 56);
+        }
+    }
+    CHECK(taken(8, 100) >= 100);
+}
+
+TEST(fleet_retry_budget, the_window_slides)
+{
+    fleet_retry_budget budget{{0, seconds(10), 5}};
+    while (budget.take(time_ms{100})) {
+    }
+    CHECK_FALSE(budget.take(time_ms{9'000}));
+    budget = fleet_retry_budget{{1.0, seconds(10), 0}};
+    for (int i = 0; i < 10; ++i) {
+        budget.add_request(time_ms{0});
+    }
+    CHECK(budget.take(time_ms{1}));
+    CHECK_FALSE(budget.take(time_ms{20'000}));
+}
+
+TEST_GROUP(entry_list)
+{
+    entry_list entries{"self", {}};
+    time_ms now{100'000};
+
+    static instance_beat beat(const std::string& name, std::int64_t number, bool serving = true)
+    {
+        return {name, name + "-1", name + ":80", "a", number, serving};
+    }
+    [[nodiscard]] std::size_t listed() const { return entries.addresses("self:80", true, now).size(); }
+};
+
+TEST(entry_list, leaves_out_stopping_and_silent_instances)
+{
+    entries.observe(beat("b", 1), now);
+    entries.observe(beat("c", 1), now);
+    CHECK_EQUAL(3U, listed());
+    entries.observe(beat("b", 2, false), now);
+    CHECK_EQUAL(2U, listed());
+    now = now + seconds(4);
+    CHECK_EQUAL(1U, listed());
+}
+
+// Guards against an old beat that is read again counting as a sign of life.
+TEST(entry_list, an_unchanged_beat_is_no_sign_of_life)
+{
+    entries.observe(beat("b", 1), now);
+    now = now + seconds(4);
+    entries.observe(beat("b", 1), now);
+    CHECK_EQUAL(1U, listed());
+}
+
+// Guards against sending all callers to one instance while the store is away.
+TEST(entry_list, keeps_everyone_while_nobody_can_be_heard)
+{
+    entries.observe(beat("b", 1), now);
+    entries.set_reachable(false, now);
+    now = now + seconds(30);
+    CHECK_EQUAL(2U, listed());
+    entries.set_reachable(true, now);
+    now = now + seconds(2);
+    CHECK_EQUAL(2U, listed());
+    now = now + seconds(2);
+    CHECK_EQUAL(1U, listed());
+}
--- a/modules/gateway/call.cpp
+++ b/modules/gateway/call.cpp
@@ -38,6 +38,9 @@
 /// Range of the pause that a refused caller is asked to make; callers return spread over it.
 constexpr time_ms least_pause{100};
 constexpr time_ms most_pause{600};
+/// The same where another instance may well serve the caller: only this one lacks something.
+constexpr time_ms least_turn{10};
+constexpr time_ms most_turn{80};
 constexpr int default_priority = 5;
 
 bool is_success(int status)
@@ -164,7 +167,7 @@
             refuse(outcome.code, exhausted ? 429 : 503,
                    exhausted ? "the prepaid budget does not cover the request"
                              : "no tokens of the prepaid budget can be had at present",
-                   pause_before_return());
+                   exhausted ? pause_before_return() : pause_before_other_instance());
         });
 }
 
@@ -685,6 +688,12 @@
     return std::max(deadline_ - context_.loop.now(), time_ms{0});
 }
 
+time_ms call::pause_before_other_instance()
+{
+    std::uniform_int_distribution<std::int64_t> pause{least_turn.count(), most_turn.count()};
+    return time_ms{pause(context_.random)};
+}
+
 time_ms call::pause_before_return()
 {
     std::uniform_int_distribution<std::int64_t> pause{least_pause.count(), most_pause.count()};
--- a/modules/gateway/call.h
+++ b/modules/gateway/call.h
@@ -72,6 +72,7 @@
     void settle();
     [[nodiscard]] time_ms time_left() const;
     [[nodiscard]] time_ms pause_before_return();
+    [[nodiscard]] time_ms pause_before_other_instance();
     [[nodiscard]] bool may_run_again() const { return route_ != nullptr && route_->may_rerun(); }
 
     call_context& context_;
--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -75,9 +75,11 @@
     std::array<int, 2> ends_{-1, -1};
 };
 
-account_budget_options budget_options()
+account_budget_options budget_options(const gateway_settings& settings)
 {
     account_budget_options options;
+    options.horizon = settings.grant_horizon;
+    options.limit_divisor = settings.grant_limit_divisor;
     options.timing.check_interval = seconds(2);
     options.timing.retry_first = time_ms{20};
     options.timing.retry_last = time_ms{500};
@@ -106,7 +108,7 @@
         , incarnation_{make_incarnation(settings_.instance)}
         , store_{loop_, {settings_.store}}
         , view_{loop_, store_, log_, metrics_, settings_, incarnation_}
-        , grants_{loop_, store_, log_, metrics_, incarnation_, budget_options()}
+        , grants_{loop_, store_, log_, metrics_, incarnation_, budget_options(settings_)}
         , connections_{loop_}
         , choice_{choice_options(settings_), hash64(incarnation_)}
         , context_{loop_,  settings_,    log_,    metrics_,
--- a/modules/net/http_head.cpp
+++ b/modules/net/http_head.cpp
@@ -41,7 +41,7 @@
     });
 }
 
-std::string_view http_headers::get(std::string_view name) const
+std::string_view header_list::get(std::string_view name) const
 {
     for (const auto& field : fields_) {
         if (same_header_name(field.name, name)) {
@@ -51,13 +51,13 @@
     return {};
 }
 
-bool http_headers::has(std::string_view name) const
+bool header_list::has(std::string_view name) const
 {
     return std::any_of(fields_.begin(), fields_.end(),
                        [name](const auto& field) { return same_header_name(field.name, name); });
 }
 
-std::vector<http_header> http_headers::end_to_end() const
+std::vector<http_header> header_list::end_to_end() const
 {
     std::vector<http_header> kept;
     kept.reserve(fields_.size());
--- a/modules/net/http_head.h
+++ b/modules/net/http_head.h
@@ -17,11 +17,11 @@
 };
 
 /// Header fields in the order received.
-class http_headers
+class header_list
 {
 public:
-    http_headers() = default;
-    explicit http_headers(std::vector<http_header> fields)
+    header_list() = default;
+    explicit header_list(std::vector<http_header> fields)
         : fields_{std::move(fields)}
     {
     }
@@ -35,7 +35,7 @@
     /// those that the `Connection` field names.
     [[nodiscard]] std::vector<http_header> end_to_end() const;
 
-    friend bool operator==(const http_headers&, const http_headers&) = default;
+    friend bool operator==(const header_list&, const header_list&) = default;
 
 private:
     std::vector<http_header> fields_;
@@ -52,7 +52,7 @@
     bool http_1_1{true};
     bool keep_alive{false};  ///< the connection may be used for another message
     bool until_close{false}; ///< a response without length that ends with its connection
-    http_headers headers;
+    header_list headers;
 };
 
 /// Adds `name: value` and the line end.
--- a/modules/net/http_reader.cpp
+++ b/modules/net/http_reader.cpp
@@ -1,5 +1,7 @@
 #include "net/http_reader.h"
 
+#include <algorithm>
+#include <cctype>
 #include <climits>
 #include <http_parser.h>
 #include <utility>
@@ -7,6 +9,21 @@
 namespace jujubevalve
 {
 
+namespace
+{
+// http_parser lets blanks pass in names; a server might read such a field differently.
+bool is_well_formed(const http_header& field)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    const auto in_name = [&](unsigned char c) {
+        return std::isalnum(c) != 0 || marks.find(static_cast<char>(c)) != std::string_view::npos;
+    };
+    const auto in_value = [](unsigned char c) { return (c >= 0x20 && c != 0x7f) || c == '\t'; };
+    return !field.name.empty() && std::all_of(field.name.begin(), field.name.end(), in_name) &&
+           std::all_of(field.value.begin(), field.value.end(), in_value);
+}
+} // namespace
+
 class http_reader::impl
 {
 public:
@@ -128,7 +145,11 @@
             const auto last = field.value.find_last_not_of(" \t");
             field.value.resize(last == std::string::npos ? 0 : last + 1);
         }
-        head_.headers = http_headers{std::exchange(fields_, {})};
+        if (!std::all_of(fields_.begin(), fields_.end(), is_well_formed)) {
+            constexpr int reject = 3; // neither "go on" nor a hint that there is no body
+            return reject;
+        }
+        head_.headers = header_list{std::exchange(fields_, {})};
         if (type_ == HTTP_REQUEST) {
             head_.method = http_method_str(static_cast<http_method>(parser_.method));
         } else {
