--- a/modules/budget/grant_book.h
+++ b/modules/budget/grant_book.h
@@ -115,6 +115,9 @@
     /// Name of this incarnation.
     [[nodiscard]] const std::string& incarnation() const { return incarnation_; }
 
+    /// Brings a budget into use before its first request, so that a refill may be planned for it.
+    void open(std::string_view budget, time_ms now) { at(budget, now); }
+
     /// Sets tokens aside for a request. Refuses with `budget_exhausted` when, as far as known, the
     /// ledger has too little free, with `budget_unavailable` when the grant is empty and the
     /// platform has not been reached, with `draining` after closing began, with `stopped` after
--- a/modules/dispatch/account_budgets.cpp
+++ b/modules/dispatch/account_budgets.cpp
@@ -29,11 +29,11 @@
     : options_{options}
     , book_{incarnation, options.timing}
     , planner_{std::move(incarnation), fleet_term}
-    , policy_{options.horizon, options.limit_divisor}
+    , policy_{options.policy}
 {
 }
 
-void account_budgets::set_limits(const std::map<std::string, token_count>& limits)
+void account_budgets::set_limits(const std::map<std::string, token_count>& limits, time_ms now)
 {
     limits_.clear();
     budget_sources sources;
@@ -42,6 +42,11 @@
         sources[account] = {account};
     }
     planner_.set_sources(std::move(sources));
+    if (limits.size() <= options_.prefetched_accounts) {
+        for (const auto& [account, limit] : limits) {
+            book_.open(account, now);
+        }
+    }
 }
 
 bool account_budgets::is_limited(std::string_view account) const
--- a/modules/dispatch/account_budgets.h
+++ b/modules/dispatch/account_budgets.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "budget/demand_driven.h"
 #include "budget/grant_book.h"
 #include "budget/grant_planner.h"
+#include "dispatch/stocked_grants.h"
 #include "storage/table_store.h"
 
 #include <map>
@@ -16,9 +16,10 @@
 
 /// Settings of account_budgets.
 struct account_budget_options {
-    time_ms horizon{10'000};        ///< demand that a grant covers; twice this is kept in stock
-    std::int64_t limit_divisor{10}; ///< one grant holds at most this part of a budget
+    stocked_grants_options policy{};
     refill_timing timing{};
+    /// Grants are drawn before the first request if there are at most so many accounts.
+    std::size_t prefetched_accounts{64};
 };
 
 /// A conditional write that changes grants, and what it was planned for.
@@ -42,7 +43,7 @@
     account_budgets(std::string incarnation, account_budget_options options);
 
     /// Takes over the limits of a configuration version.
-    void set_limits(const std::map<std::string, token_count>& limits);
+    void set_limits(const std::map<std::string, token_count>& limits, time_ms now);
 
     /// Whether the account has a prepaid budget.
     [[nodiscard]] bool is_limited(std::string_view account) const;
@@ -79,7 +80,7 @@
     account_budget_options options_;
     grant_book book_;
     grant_planner planner_;
-    demand_driven policy_;
+    stocked_grants policy_;
     std::map<std::string, token_count, std::less<>> limits_;
     std::map<std::string, table_row, std::less<>> rows_;
     std::map<std::string, time_ms, std::less<>> read_at_; ///< by account
--- a/modules/dispatch/tests/account_budgets_tests.cpp
+++ b/modules/dispatch/tests/account_budgets_tests.cpp
@@ -68,7 +68,7 @@
     std::unique_ptr<account_budgets> instance(const std::string& name)
     {
         auto made = std::make_unique<account_budgets>(name, options());
-        made->set_limits({{"crew", limit}});
+        made->set_limits({{"crew", limit}}, now);
         return made;
     }
 
@@ -158,7 +158,7 @@
 TEST(account_budgets, an_outage_of_the_horizon_refuses_nobody_at_steady_demand)
 {
     const auto a = std::make_unique<account_budgets>("a", options());
-    a->set_limits({{"crew", 10'000'000}});
+    a->set_limits({{"crew", 10'000'000}}, now);
     const auto step = [&](bool reachable) {
         bool granted = false;
         if (const auto got = a->reserve("crew", 5000, now)) {
@@ -181,7 +181,7 @@
 {
     const auto a = instance("a");
     const auto before = spend_all(*a, 1000);
-    a->set_limits({{"crew", 2 * limit}});
+    a->set_limits({{"crew", 2 * limit}}, now);
     const auto after = spend_all(*a, 1000);
     CHECK(before <= limit);
     CHECK(before + after <= 2 * limit);
--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -78,8 +78,8 @@
 account_budget_options budget_options(const gateway_settings& settings)
 {
     account_budget_options options;
-    options.horizon = settings.grant_horizon;
-    options.limit_divisor = settings.grant_limit_divisor;
+    options.policy.horizon = settings.grant_horizon;
+    options.policy.limit_divisor = settings.grant_limit_divisor;
     options.timing.check_interval = seconds(2);
     options.timing.retry_first = time_ms{20};
     options.timing.retry_last = time_ms{500};
--- a/modules/gateway/grant_service.cpp
+++ b/modules/gateway/grant_service.cpp
@@ -41,7 +41,7 @@
 
 void grant_service::set_limits(const std::map<std::string, token_count>& limits)
 {
-    budgets_.set_limits(limits);
+    budgets_.set_limits(limits, loop_.now());
     run();
 }
 
