Return what a killed process cannot have spent; share grants by published demand

A waiting request also counted its shortage again every 15 ms, so that one instance drew a whole budget.

Each incarnation now publishes ceilings of its spend ahead; its successor returns the rest of its grants if the ceilings bound it when it died.

--- a/modules/budget/grant_book.cpp
+++ b/modules/budget/grant_book.cpp
@@ -76,6 +76,7 @@
     }
     auto& made = entries_.try_emplace(std::string{budget}).first->second;
     made.last_use = now;
+    made.demand = demand_rate{timing_.demand_window};
     const auto dropped = dropped_spent_.find(hash64(budget));
     if (dropped != dropped_spent_.end()) {
         // Dropped with nothing available, so the row holds exactly what was spent.
@@ -300,9 +301,11 @@
                        [](const auto& item) { return item.second.closed; });
 }
 
-grant_facts grant_book::facts_of(const entry& item, std::int64_t live_instances, time_ms now) const
+grant_facts grant_book::facts_of(std::string_view budget, const entry& item,
+                                 std::int64_t live_instances, time_ms now) const
 {
     grant_facts facts;
+    facts.budget = budget;
     facts.demand_per_ms = item.demand.per_ms(now);
     facts.limit = item.limit;
     facts.grantable = item.grantable;
@@ -322,7 +325,7 @@
                               time_ms now) const
 {
     const auto* const item = find(budget);
-    return item == nullptr ? grant_facts{} : facts_of(*item, live_instances, now);
+    return item == nullptr ? grant_facts{} : facts_of(budget, *item, live_instances, now);
 }
 
 void grant_book::observe(const budget_observation& seen, time_ms now)
--- a/modules/budget/grant_book.h
+++ b/modules/budget/grant_book.h
@@ -101,6 +101,7 @@
     time_ms retry_last{seconds(5)};      ///< largest delay between attempts
     time_ms exhausted_retry{seconds(1)}; ///< between looks at a ledger with nothing free
     time_ms hint_interval{seconds(10)};  ///< between returns because others lack tokens
+    time_ms demand_window{minutes(5)};   ///< time constant of the demand's moving average
     time_ms idle_after{minutes(70)};     ///< a budget unused for this long is returned and dropped
     std::size_t batch_size{64};          ///< budgets in one transaction
 };
@@ -308,7 +309,7 @@
                 continue;
             }
             const bool idle = is_idle(item, now) && item.available() > 0;
-            if (!must_look(item, now) && !idle && !wants(facts_of(item, live_instances, now))) {
+            if (!must_look(item, now) && !idle && !wants(facts_of(name, item, live_instances, now))) {
                 continue;
             }
             batch.budgets.push_back(name);
@@ -324,8 +325,8 @@
     [[nodiscard]] bool is_due(const entry& item, time_ms now) const;
     [[nodiscard]] bool must_look(const entry& item, time_ms now) const;
     [[nodiscard]] bool is_idle(const entry& item, time_ms now) const;
-    [[nodiscard]] grant_facts facts_of(const entry& item, std::int64_t live_instances,
-                                       time_ms now) const;
+    [[nodiscard]] grant_facts facts_of(std::string_view budget, const entry& item,
+                                       std::int64_t live_instances, time_ms now) const;
     [[nodiscard]] const entry* find(std::string_view budget) const;
     entry& at(std::string_view budget, time_ms now);
     reserve_outcome refuse(entry& item, token_count tokens, time_ms now);
--- a/modules/budget/grant_policy.h
+++ b/modules/budget/grant_policy.h
@@ -6,12 +6,14 @@
 #include <algorithm>
 #include <concepts>
 #include <cstdint>
+#include <string_view>
 
 namespace jujubevalve
 {
 
 /// What a policy knows of one budget when it decides.
 struct grant_facts {
+    std::string_view budget;         ///< its name
     double demand_per_ms{0};         ///< moving average of settled usage, tokens per millisecond
     token_count limit{0};            ///< of the budget
     token_count grantable{0};        ///< limit less the safety margin
--- a/modules/dispatch/account_budgets.cpp
+++ b/modules/dispatch/account_budgets.cpp
@@ -5,6 +5,7 @@
 #include "config/config_rows.h"
 
 #include <algorithm>
+#include <functional>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -30,6 +31,7 @@
     , book_{incarnation, options.timing}
     , planner_{std::move(incarnation), fleet_term}
     , policy_{options.policy}
+    , ceilings_{options.ceilings}
 {
 }
 
@@ -56,9 +58,19 @@
 
 reserve_outcome account_budgets::reserve(std::string_view account, token_count tokens, time_ms now)
 {
+    const auto total = book_.spent(account) + book_.reserved(account) + tokens;
+    if (book_.available(account) >= tokens && !ceilings_.allow(account, total, now)) {
+        return {0, result_code::budget_unavailable, store_reachable_};
+    }
     return book_.reserve(account, tokens, now);
 }
 
+bool account_budgets::is_exhausted(std::string_view account, token_count tokens) const
+{
+    const auto facts = book_.facts(account, 1, time_ms{});
+    return facts.limit > 0 && facts.free + facts.available < tokens;
+}
+
 void account_budgets::settle(reservation_id id, token_count used, time_ms now)
 {
     book_.settle(id, used, now);
@@ -169,6 +181,36 @@
     }
 }
 
+std::vector<spend_facts> account_budgets::spend(time_ms now) const
+{
+    std::vector<spend_facts> found;
+    for (const auto& account : book_.budgets()) {
+        const auto facts = book_.facts(account, 1, now);
+        found.push_back({account, book_.spent(account) + book_.reserved(account), facts.request,
+                         facts.demand_per_ms});
+    }
+    return found;
+}
+
+account_demand account_budgets::largest_demand(std::size_t most, time_ms now) const
+{
+    std::vector<std::pair<token_count, std::string>> found;
+    for (const auto& [account, limit] : limits_) {
+        const auto per_second = static_cast<token_count>(book_.demand(account, now) * 1000);
+        if (per_second > 0) {
+            found.emplace_back(per_second, account);
+        }
+    }
+    const auto kept = std::min(most, found.size());
+    std::partial_sort(found.begin(), found.begin() + static_cast<std::ptrdiff_t>(kept),
+                      found.end(), std::greater<>{});
+    account_demand demand;
+    for (std::size_t i = 0; i < kept; ++i) {
+        demand.emplace(found[i].second, found[i].first);
+    }
+    return demand;
+}
+
 void account_budgets::begin_close()
 {
     book_.begin_close();
--- a/modules/dispatch/account_budgets.h
+++ b/modules/dispatch/account_budgets.h
@@ -2,6 +2,7 @@
 
 #include "budget/grant_book.h"
 #include "budget/grant_planner.h"
+#include "dispatch/spend_ceilings.h"
 #include "dispatch/stocked_grants.h"
 #include "storage/table_store.h"
 
@@ -18,6 +19,7 @@
 struct account_budget_options {
     stocked_grants_options policy{};
     refill_timing timing{};
+    spend_ceilings_options ceilings{};
     /// Grants are drawn before the first request if there are at most so many accounts.
     std::size_t prefetched_accounts{64};
 };
@@ -50,6 +52,9 @@
 
     [[nodiscard]] reserve_outcome reserve(std::string_view account, token_count tokens,
                                           time_ms now);
+    /// Whether, as far as known, the whole budget has not so many tokens left.
+    [[nodiscard]] bool is_exhausted(std::string_view account, token_count tokens) const;
+
     void settle(reservation_id id, token_count used, time_ms now);
     void settle_in_full(reservation_id id, time_ms now);
     void release(reservation_id id);
@@ -68,6 +73,23 @@
     void begin_close();
     [[nodiscard]] bool all_closed() const;
 
+    /// Own demand of the accounts with the largest, at most `most`.
+    [[nodiscard]] account_demand largest_demand(std::size_t most, time_ms now) const;
+    /// Demand of the other instances together.
+    void set_demand_elsewhere(account_demand demand)
+    {
+        policy_.set_demand_elsewhere(std::move(demand));
+    }
+
+    /// The ceilings on the own spend; requests above them are refused until they are published.
+    [[nodiscard]] spend_ceilings& ceilings() { return ceilings_; }
+
+    /// Whether the store answers at present, so that waiting for a write makes sense.
+    void set_store_reachable(bool reachable) { store_reachable_ = reachable; }
+
+    /// Present spend of all accounts in use, for the ceilings.
+    [[nodiscard]] std::vector<spend_facts> spend(time_ms now) const;
+
     [[nodiscard]] const grant_book& book() const { return book_; }
 
     /// Key of an account's ledger row.
@@ -81,6 +103,8 @@
     grant_book book_;
     grant_planner planner_;
     stocked_grants policy_;
+    spend_ceilings ceilings_;
+    bool store_reachable_{true};
     std::map<std::string, token_count, std::less<>> limits_;
     std::map<std::string, table_row, std::less<>> rows_;
     std::map<std::string, time_ms, std::less<>> read_at_; ///< by account
--- a/modules/dispatch/entry_list.cpp
+++ b/modules/dispatch/entry_list.cpp
@@ -61,6 +61,20 @@
     return found;
 }
 
+account_demand entry_list::demand_elsewhere(time_ms now) const
+{
+    account_demand sum;
+    for (const auto& [instance, item] : records_) {
+        if (!is_heard(item, now)) {
+            continue;
+        }
+        for (const auto& [account, demand] : item.beat.demand) {
+            sum[account] += demand;
+        }
+    }
+    return sum;
+}
+
 std::int64_t entry_list::live_count(time_ms now) const
 {
     return 1 + std::count_if(records_.begin(), records_.end(),
--- a/modules/dispatch/entry_list.h
+++ b/modules/dispatch/entry_list.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time_ms.h"
+#include "dispatch/stocked_grants.h"
 
 #include <cstdint>
 #include <map>
@@ -19,6 +20,7 @@
     std::string failure_domain;
     std::int64_t number{0}; ///< of the beat, from 1 in each incarnation
     bool serving{false};    ///< takes new callers
+    account_demand demand;  ///< tokens per second that its callers ask for
 
     friend bool operator==(const instance_beat&, const instance_beat&) = default;
 };
@@ -46,6 +48,9 @@
     [[nodiscard]] std::vector<std::string> addresses(const std::string& own_address,
                                                      bool own_serving, time_ms now) const;
 
+    /// Demand of the other instances that are heard, by account.
+    [[nodiscard]] account_demand demand_elsewhere(time_ms now) const;
+
     /// Instances that are heard, this one included.
     [[nodiscard]] std::int64_t live_count(time_ms now) const;
 
--- /dev/null
+++ b/modules/dispatch/spend_ceilings.cpp
@@ -0,0 +1,82 @@
+#include "dispatch/spend_ceilings.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jujubevalve
+{
+
+namespace
+{
+/// Requests that a ceiling leaves room for at least, in multiples of the largest.
+constexpr std::int64_t least_requests = 2;
+} // namespace
+
+spend_ceilings::spend_ceilings(spend_ceilings_options options)
+    : options_{options}
+{
+}
+
+bool spend_ceilings::is_offline(time_ms now) const
+{
+    return ever_sent_ && now - sent_at_ > options_.offline_after;
+}
+
+bool spend_ceilings::allow(std::string_view account, token_count total, time_ms now)
+{
+    const auto found = published_.find(account);
+    if ((found != published_.end() && total <= found->second) || is_offline(now)) {
+        return true;
+    }
+    auto& asked = asked_[std::string{account}];
+    asked = std::max(asked, total);
+    return false;
+}
+
+token_count spend_ceilings::wanted(const spend_facts& facts) const
+{
+    const auto cover = options_.offline_after + options_.interval;
+    const auto demand =
+        static_cast<token_count>(facts.demand_per_ms * static_cast<double>(cover.count()));
+    return facts.total + std::max(demand, least_requests * facts.request);
+}
+
+std::optional<ceiling_map> spend_ceilings::plan(const std::vector<spend_facts>& facts, time_ms now)
+{
+    if (in_flight_) {
+        return std::nullopt;
+    }
+    bool due = !ever_sent_ || now - sent_at_ >= options_.interval || !asked_.empty();
+    auto next = published_;
+    for (const auto& item : facts) {
+        auto& ceiling = next[item.account];
+        const auto goal = wanted(item);
+        due = due || ceiling - item.total < (goal - item.total) / 2;
+        ceiling = std::max(ceiling, goal);
+        if (const auto asked = asked_.find(item.account); asked != asked_.end()) {
+            ceiling = std::max(ceiling, asked->second + item.request);
+        }
+    }
+    return due ? std::optional{std::move(next)} : std::nullopt;
+}
+
+void spend_ceilings::sent(time_ms now)
+{
+    in_flight_ = true;
+    ever_sent_ = true;
+    sent_at_ = now;
+    asked_.clear();
+}
+
+void spend_ceilings::acknowledged(const ceiling_map& ceilings)
+{
+    in_flight_ = false;
+    published_ = ceilings;
+}
+
+void spend_ceilings::failed()
+{
+    in_flight_ = false;
+}
+
+} // namespace jujubevalve
--- /dev/null
+++ b/modules/dispatch/spend_ceilings.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "core/time_ms.h"
+#include "core/tokens.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jujubevalve
+{
+
+/// The most that an incarnation may have spent, by account.
+using ceiling_map = std::map<std::string, token_count, std::less<>>;
+
+
+/// Settings of spend_ceilings.
+struct spend_ceilings_options {
+    /// After this time without a write the ceilings no longer bind, so that callers are served in
+    /// an outage of the store; a successor that starts later than this must charge whole grants.
+    time_ms offline_after{3000};
+    /// Interval of writes while there is demand; the stamp is as old as this at most.
+    time_ms interval{500};
+};
+
+/// Present spend and demand of one account.
+struct spend_facts {
+    std::string account;
+    token_count total{0};   ///< spent and reserved
+    token_count request{1}; ///< largest request lately
+    double demand_per_ms{0};
+
+    friend bool operator==(const spend_facts&, const spend_facts&) = default;
+};
+
+/// Bounds that a process puts on its own spend and publishes ahead of it. If it is killed, its
+/// successor knows that no more than the ceilings can have been spent, and returns the rest of the
+/// grants. Not synchronised.
+class spend_ceilings
+{
+public:
+    explicit spend_ceilings(spend_ceilings_options options = {});
+
+    /// Whether the account's total may become `total`. If not, the next plan raises the ceiling.
+    [[nodiscard]] bool allow(std::string_view account, token_count total, time_ms now);
+
+    /// The ceilings to publish now, if any are due and no write is under way.
+    [[nodiscard]] std::optional<ceiling_map> plan(const std::vector<spend_facts>& facts,
+                                                  time_ms now);
+
+    /// A planned write was sent.
+    void sent(time_ms now);
+    /// The write was acknowledged, so its ceilings may be used; or it may not have taken effect.
+    void acknowledged(const ceiling_map& ceilings);
+    void failed();
+
+    /// Whether the ceilings no longer bind.
+    [[nodiscard]] bool is_offline(time_ms now) const;
+
+    [[nodiscard]] const spend_ceilings_options& options() const { return options_; }
+
+private:
+    [[nodiscard]] token_count wanted(const spend_facts& facts) const;
+
+    spend_ceilings_options options_;
+    ceiling_map published_;
+    ceiling_map asked_; ///< totals that were refused since the last write
+    bool in_flight_{false};
+    bool ever_sent_{false};
+    time_ms sent_at_{};
+};
+
+
+} // namespace jujubevalve
--- a/modules/dispatch/stocked_grants.cpp
+++ b/modules/dispatch/stocked_grants.cpp
@@ -11,6 +11,10 @@
 constexpr std::int64_t surplus_factor = 3;
 /// Below this part of the budget the instances compete for what is free.
 constexpr std::int64_t low_free_divisor = 20;
+/// Part of the own share of the rest that is taken, so that demand that moves finds some.
+constexpr double share_used = 0.8;
+/// Refused requests that one refill makes up for, in multiples of the largest.
+constexpr std::int64_t most_shortage = 4;
 } // namespace
 
 stocked_grants::stocked_grants(stocked_grants_options options)
@@ -18,21 +22,25 @@
 {
 }
 
+double stocked_grants::share_of_demand(const grant_facts& facts) const
+{
+    const auto found = elsewhere_.find(facts.budget);
+    const auto others = found == elsewhere_.end() ? 0.0 : static_cast<double>(found->second);
+    const auto own = facts.demand_per_ms * 1000;
+    return own > 0 ? own / (own + others) : 0.0;
+}
+
 token_count stocked_grants::target(const grant_facts& facts) const
 {
     const auto live = std::max<std::int64_t>(1, facts.live_instances);
-    const auto available = std::max<token_count>(0, facts.available);
-    const auto free = std::max<token_count>(0, facts.free);
-    const auto demand = static_cast<token_count>(
-        facts.demand_per_ms * 2 * static_cast<double>(options_.horizon.count()));
-    const auto floor = free / (live * options_.floor_divisor);
-    // What is reserved is stranded by a death as well as what is available.
-    const auto most =
-        std::max<token_count>(0, facts.limit / options_.limit_divisor - facts.reserved);
-    const auto stock = std::min(std::max(demand, floor), most);
-    // An equal share of the rest, the own stock included.
-    const auto share = (free + available) / live;
-    return std::max({std::min(stock, share), facts.request, facts.shortage});
+    const auto rest = static_cast<double>(std::max<token_count>(0, facts.available) +
+                                          std::max<token_count>(0, facts.free));
+    const auto stock = facts.demand_per_ms * 2 * static_cast<double>(options_.horizon.count());
+    const auto share = share_used * share_of_demand(facts) * rest;
+    const auto floor = rest / static_cast<double>(live * options_.floor_divisor);
+    const auto shortage = std::min(facts.shortage, most_shortage * facts.request);
+    const auto goal = static_cast<token_count>(std::max(std::min(stock, share), floor));
+    return std::max({goal, facts.request, shortage});
 }
 
 token_count stocked_grants::wanted(const grant_facts& facts) const
@@ -42,10 +50,10 @@
     }
     const auto goal = target(facts);
     const auto free = std::max<token_count>(0, facts.free);
-    if (facts.available < goal / 2 || facts.available < facts.shortage) {
-        const auto step = std::min(goal - facts.available, free);
+    if (facts.available < goal / 2 || facts.available < std::min(facts.shortage, facts.request)) {
+        const auto step = std::clamp<token_count>(goal - facts.available, 0, free);
         // A grant that serves no request here might serve one elsewhere.
-        return facts.available + step >= facts.request ? std::max<token_count>(0, step) : 0;
+        return facts.available + step >= facts.request ? step : 0;
     }
     const bool is_low = free < facts.grantable / low_free_divisor;
     return is_low && facts.available > surplus_factor * goal ? goal - facts.available : 0;
--- a/modules/dispatch/stocked_grants.h
+++ b/modules/dispatch/stocked_grants.h
@@ -2,25 +2,33 @@
 
 #include "budget/grant_policy.h"
 
+#include <map>
+#include <string>
+
 namespace jujubevalve
 {
 
+/// Tokens per second by account.
+using account_demand = std::map<std::string, token_count, std::less<>>;
+
 /// Settings of stocked_grants.
 struct stocked_grants_options {
     time_ms horizon{10'000};       ///< an outage of the store that must refuse nobody
-    std::int64_t limit_divisor{10}; ///< one grant holds at most this part of a budget
-    std::int64_t floor_divisor{6};  ///< all instances together stock this part of what is free
+    std::int64_t floor_divisor{8}; ///< all instances together stock this part of what is free
 };
 
 /// Grant policy for instances that lose the store for seconds without warning: each keeps a stock
-/// for two horizons of its demand, and a part of what is free even without demand, since callers
-/// move to it when others fail. As a budget runs out, the stocks shrink to the instances' shares of
-/// the rest, and to single requests in the end.
+/// for up to two horizons of its demand, and a part of what is free even without demand, since
+/// callers move to it when others fail. As a budget runs out, the stocks shrink to the instances'
+/// shares of the rest by their demand, and to single requests in the end.
 class stocked_grants
 {
 public:
     explicit stocked_grants(stocked_grants_options options = {});
 
+    /// Demand of the other instances, as they last published it.
+    void set_demand_elsewhere(account_demand demand) { elsewhere_ = std::move(demand); }
+
     /// Tokens to add or return, see `grant_policy`.
     [[nodiscard]] token_count wanted(const grant_facts& facts) const;
 
@@ -28,7 +36,11 @@
     [[nodiscard]] token_count target(const grant_facts& facts) const;
 
 private:
+    /// The part of the fleet's demand that arrives here, 0 to 1.
+    [[nodiscard]] double share_of_demand(const grant_facts& facts) const;
+
     stocked_grants_options options_;
+    account_demand elsewhere_;
 };
 
 static_assert(grant_policy<stocked_grants>);
--- a/modules/dispatch/tests/account_budgets_tests.cpp
+++ b/modules/dispatch/tests/account_budgets_tests.cpp
@@ -72,9 +72,21 @@
         return made;
     }
 
+    void publish(account_budgets& budgets, bool reachable)
+    {
+        if (!reachable) {
+            return;
+        }
+        if (const auto plan = budgets.ceilings().plan(budgets.spend(now), now)) {
+            budgets.ceilings().sent(now);
+            budgets.ceilings().acknowledged(*plan);
+        }
+    }
+
     /// Carries out every step that is due. With `lose_answers` writes apply and go unanswered.
     void settle_steps(account_budgets& budgets, bool reachable = true, bool lose_answers = false)
     {
+        publish(budgets, reachable && !lose_answers);
         for (int i = 0; i < 20; ++i) {
             const auto step = budgets.next_step(2, now);
             if (step.read_ledger) {
@@ -94,6 +106,7 @@
             }
             now = now + time_ms{20};
         }
+        publish(budgets, reachable && !lose_answers);
     }
 
     /// Spends in requests of the size until they are refused for a while; returns the sum.
--- /dev/null
+++ b/modules/dispatch/tests/spend_tests.cpp
@@ -0,0 +1,117 @@
+#include "budget/grant_row.h"
+#include "budget/ledger_row.h"
+#include "budget/row_keys.h"
+#include "config/config_rows.h"
+#include "dispatch/spend_ceilings.h"
+#include "dispatch/spend_row.h"
+
+#include <CppUTest/TestHarness.h>
+#include <string>
+
+using namespace jujubevalve;
+
+TEST_GROUP(spend_ceilings)
+{
+    spend_ceilings ceilings{{time_ms{3000}, time_ms{500}}};
+    time_ms now{100'000};
+
+    void publish(const std::vector<spend_facts>& facts)
+    {
+        const auto plan = ceilings.plan(facts, now);
+        CHECK(plan.has_value());
+        ceilings.sent(now);
+        ceilings.acknowledged(*plan);
+    }
+};
+
+// Guards against spend that a successor could not know of.
+TEST(spend_ceilings, nothing_is_allowed_before_it_is_published)
+{
+    CHECK_FALSE(ceilings.allow("crew", 100, now));
+    const auto plan = ceilings.plan({{"crew", 0, 100, 0}}, now);
+    ceilings.sent(now);
+    CHECK_FALSE(ceilings.allow("crew", 100, now));
+    ceilings.acknowledged(*plan);
+    CHECK(ceilings.allow("crew", 100, now));
+    CHECK_FALSE(ceilings.allow("crew", 1'000, now));
+}
+
+TEST(spend_ceilings, leave_room_for_the_demand_of_an_outage)
+{
+    publish({{"crew", 1000, 10, 2.0}});
+    CHECK(ceilings.allow("crew", 1000 + 2 * 3000, now));
+}
+
+// Guards against refusing everyone in a long outage of the store.
+TEST(spend_ceilings, no_longer_bind_after_the_time_without_a_write)
+{
+    publish({{"crew", 0, 10, 0}});
+    CHECK_FALSE(ceilings.allow("crew", 10'000, now + time_ms{3000}));
+    CHECK(ceilings.allow("crew", 10'000, now + time_ms{3001}));
+}
+
+// Guards against a write whose answer is lost: it may still take effect with its later stamp.
+TEST(spend_ceilings, an_unanswered_write_starts_the_time_anew)
+{
+    publish({{"crew", 0, 10, 0}});
+    now = now + time_ms{2900};
+    CHECK(ceilings.plan({{"crew", 0, 10, 0}}, now).has_value());
+    ceilings.sent(now);
+    ceilings.failed();
+    CHECK_FALSE(ceilings.allow("crew", 10'000, now + time_ms{200}));
+}
+
+TEST(spend_ceilings, a_refused_total_is_published_at_once)
+{
+    publish({{"crew", 0, 10, 0}});
+    CHECK_FALSE(ceilings.plan({{"crew", 0, 10, 0}}, now).has_value());
+    CHECK_FALSE(ceilings.allow("crew", 5'000, now));
+    publish({{"crew", 0, 10, 0}});
+    CHECK(ceilings.allow("crew", 5'000, now));
+}
+
+TEST_GROUP(reclaim)
+{
+    spend_row dead{"i-1", "127.0.0.1:80", time_ms{5000}, {{"crew", 300}}};
+
+    static std::vector<table_row> rows(bool closed = false)
+    {
+        grant_row grant;
+        grant.granted = 1000;
+        grant.closed = closed;
+        return {{ledger_key("crew"), to_text(ledger_row{1500}), 7},
+                {grant_key("crew", "i-1"), to_text(grant), 8}};
+    }
+};
+
+TEST(reclaim, returns_what_is_above_the_ceiling)
+{
+    const auto change = plan_reclaim(dead, "spend/i/i-1", true, rows());
+    CHECK(change.has_value());
+    CHECK_EQUAL(2U, change->conditions.size());
+    CHECK_EQUAL(300, parse_grant_row(change->writes[0].value)->granted);
+    CHECK(parse_grant_row(change->writes[0].value)->closed);
+    CHECK_EQUAL(800, parse_ledger_row(change->writes[1].value)->allocated);
+    CHECK_EQUAL(1U, change->deletes.size());
+}
+
+// Guards against returning tokens that were spent while the store was out of reach.
+TEST(reclaim, charges_everything_if_the_ceilings_may_not_have_bound)
+{
+    const auto change = plan_reclaim(dead, "spend/i/i-1", false, rows());
+    CHECK_EQUAL(1U, change->writes.size());
+    CHECK_EQUAL(1000, parse_grant_row(change->writes[0].value)->granted);
+}
+
+// Guards against returning the same tokens twice.
+TEST(reclaim, leaves_closed_grants_alone)
+{
+    const auto change = plan_reclaim(dead, "spend/i/i-1", true, rows(true));
+    CHECK(change->writes.empty());
+}
+
+TEST(reclaim, a_spend_row_survives_the_store)
+{
+    CHECK(*parse_spend_row(to_text(dead)) == dead);
+    CHECK_FALSE(parse_spend_row("{\"incarnation\":1}").has_value());
+}
--- a/modules/gateway/fleet_view.cpp
+++ b/modules/gateway/fleet_view.cpp
@@ -77,6 +77,11 @@
     return entries_.live_count(loop_.now());
 }
 
+account_demand fleet_view::demand_elsewhere() const
+{
+    return entries_.demand_elsewhere(loop_.now());
+}
+
 void fleet_view::set_serving(bool serving)
 {
     if (own_.serving != serving) {
@@ -214,6 +219,9 @@
     beat_in_flight_ = true;
     next_beat_ = loop_.now() + beat_interval;
     ++own_.number;
+    if (own_demand) {
+        own_.demand = own_demand();
+    }
     store_.commit({{}, {{beat_key(own_.instance), encode_beat(own_)}}, {}},
                   [this](const store_commit& /*outcome*/) {
                       beat_in_flight_ = false;
--- a/modules/gateway/fleet_view.h
+++ b/modules/gateway/fleet_view.h
@@ -31,6 +31,9 @@
     /// Called with each configuration that comes into force.
     std::function<void(const fleet_config_ptr&)> on_config;
 
+    /// Asked for what the beat says of the own demand.
+    std::function<account_demand()> own_demand;
+
     /// The configuration in force; null before the first.
     [[nodiscard]] const fleet_config_ptr& config() const { return config_; }
     [[nodiscard]] server_directory& servers() { return servers_; }
@@ -44,6 +47,7 @@
     /// Addresses for callers.
     [[nodiscard]] std::vector<std::string> entry_addresses() const;
     [[nodiscard]] std::int64_t instance_count() const;
+    [[nodiscard]] account_demand demand_elsewhere() const;
 
     /// Whether this instance takes new callers; published at once when it changes.
     void set_serving(bool serving);
--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -23,6 +23,8 @@
 {
 /// Interval of house-keeping.
 constexpr time_ms upkeep_interval{500};
+/// Accounts whose demand a beat carries, the largest first; bounds its size.
+constexpr std::size_t published_accounts = 32;
 
 // Written by the signal handler, read by the loop.
 std::atomic<int> signal_pipe{-1};
@@ -79,7 +81,7 @@
 {
     account_budget_options options;
     options.policy.horizon = settings.grant_horizon;
-    options.policy.limit_divisor = settings.grant_limit_divisor;
+    options.timing.demand_window = settings.grant_horizon;
     options.timing.check_interval = seconds(2);
     options.timing.retry_first = time_ms{20};
     options.timing.retry_last = time_ms{500};
@@ -108,7 +110,10 @@
         , incarnation_{make_incarnation(settings_.instance)}
         , store_{loop_, {settings_.store}}
         , view_{loop_, store_, log_, metrics_, settings_, incarnation_}
-        , grants_{loop_, store_, log_, metrics_, incarnation_, budget_options(settings_)}
+        , grants_{loop_,          store_,
+                  log_,           metrics_,
+                  settings_.instance, incarnation_,
+                  settings_.listen,   budget_options(settings_)}
         , connections_{loop_}
         , choice_{choice_options(settings_), hash64(incarnation_)}
         , context_{loop_,  settings_,    log_,    metrics_,
@@ -156,7 +161,9 @@
                        .add("listen", settings_.listen),
                    loop_.now());
         view_.on_config = [this](const fleet_config_ptr& config) { take_limits(*config); };
+        view_.own_demand = [this] { return grants_.largest_demand(published_accounts); };
         view_.start();
+        grants_.recover();
         upkeep();
         loop_.run();
         return success();
@@ -210,6 +217,8 @@
         connections_.close_idle();
         const auto instances = view_.instance_count();
         grants_.set_instances(instances);
+        grants_.set_store_reachable(view_.is_reachable());
+        grants_.set_demand_elsewhere(view_.demand_elsewhere());
         for (auto& [service, budget] : context_.retry_budgets) {
             budget.set_instances(instances);
         }
--- a/modules/gateway/gateway_settings.cpp
+++ b/modules/gateway/gateway_settings.cpp
@@ -22,9 +22,6 @@
 DEFINE_int64(grant_horizon_ms, 10000,
              "demand that a grant covers at least, so that an outage of the store of that length "
              "refuses nobody; twice this is kept at most, 100 to 600000 ms");
-DEFINE_int64(grant_limit_divisor, 10,
-             "a grant holds at most this part of a budget, which bounds what a death strands, 1 to "
-             "100000");
 
 namespace jujubevalve
 {
@@ -50,7 +47,6 @@
     check.range("retry_window_ms", FLAGS_retry_window_ms, 1000, 600'000);
     check.range("retry_slack", FLAGS_retry_slack, 0, 100'000);
     check.range("grant_horizon_ms", FLAGS_grant_horizon_ms, 100, 600'000);
-    check.range("grant_limit_divisor", FLAGS_grant_limit_divisor, 1, 100'000);
     if (FLAGS_retry_ratio < 0 || FLAGS_retry_ratio > 10) {
         check.fail("retry_ratio", std::to_string(FLAGS_retry_ratio), "a number from 0 to 10");
     }
@@ -72,7 +68,6 @@
     settings.drain_time = time_ms{FLAGS_drain_time_ms};
     settings.retry_limit = {FLAGS_retry_ratio, time_ms{FLAGS_retry_window_ms}, FLAGS_retry_slack};
     settings.grant_horizon = time_ms{FLAGS_grant_horizon_ms};
-    settings.grant_limit_divisor = FLAGS_grant_limit_divisor;
     return settings;
 }
 } // namespace
--- a/modules/gateway/gateway_settings.h
+++ b/modules/gateway/gateway_settings.h
@@ -23,7 +23,6 @@
     time_ms drain_time{};       ///< within which a leaving server must get no more work
     fleet_retry_limit retry_limit;
     time_ms grant_horizon{};           ///< demand that a grant covers at least
-    std::int64_t grant_limit_divisor{}; ///< a grant holds at most this part of a budget
 
     friend bool operator==(const gateway_settings&, const gateway_settings&) = default;
 };
--- a/modules/gateway/grant_service.cpp
+++ b/modules/gateway/grant_service.cpp
@@ -29,13 +29,17 @@
 } // namespace
 
 grant_service::grant_service(event_loop& loop, store_client& store, decision_log& log,
-                             gateway_metrics& metrics, std::string incarnation,
+                             gateway_metrics& metrics, std::string instance,
+                             std::string incarnation, std::string address,
                              account_budget_options options)
     : loop_{loop}
     , store_{store}
     , log_{log}
     , metrics_{metrics}
-    , budgets_{std::move(incarnation), options}
+    , instance_{std::move(instance)}
+    , incarnation_{std::move(incarnation)}
+    , address_{std::move(address)}
+    , budgets_{incarnation_, options}
 {
 }
 
@@ -95,6 +99,7 @@
 
 void grant_service::run()
 {
+    publish_ceilings();
     while (in_flight_ < most_in_flight) {
         auto step = budgets_.next_step(instances_, loop_.now());
         if (step.write) {
@@ -111,6 +116,105 @@
     }
 }
 
+void grant_service::publish_ceilings()
+{
+    const auto now = loop_.now();
+    const auto store_time = store_.store_time();
+    // Without an answer to the last one, further writes would only move the start of the time in
+    // which the ceilings bind.
+    if (!store_time || (ceilings_unanswered_ && !store_reachable_)) {
+        return;
+    }
+    const auto ceilings = budgets_.ceilings().plan(budgets_.spend(now), now);
+    if (!ceilings) {
+        return;
+    }
+    const spend_row row{incarnation_, address_, *store_time, *ceilings};
+    budgets_.ceilings().sent(now);
+    store_.commit({{}, {{own_spend_key(), to_text(row)}}, {}},
+                  [this, ceilings = *ceilings](const store_commit& done) {
+                      ceilings_unanswered_ = done.outcome.outcome != commit_outcome::committed;
+                      if (ceilings_unanswered_) {
+                          budgets_.ceilings().failed();
+                      } else {
+                          budgets_.ceilings().acknowledged(ceilings);
+                      }
+                      schedule_run(time_ms{0});
+                  });
+}
+
+void grant_service::recover()
+{
+    const auto prefix = split_row_name(spend_prefix(instance_));
+    // '0' follows '/', which ends the prefix.
+    const auto end = prefix.key.substr(0, prefix.key.size() - 1) + "0";
+    store_.read(prefix.table, prefix.key, end, [this](const result<row_page>& page) {
+        if (!page) {
+            constexpr time_ms pause{300};
+            loop_.schedule(pause, [this] { recover(); });
+            return;
+        }
+        for (const auto& item : page->rows) {
+            const auto dead = parse_spend_row(item.row.value);
+            if (!dead || dead->incarnation == incarnation_ || dead->address != address_) {
+                continue;
+            }
+            const bool was_bound =
+                page->store_time - dead->stamp < budgets_.ceilings().options().offline_after;
+            log_.write("predecessor",
+                       log_fields{}
+                           .add("incarnation", dead->incarnation)
+                           .add("age_ms", page->store_time - dead->stamp)
+                           .add("bound", static_cast<int>(was_bound)),
+                       loop_.now());
+            reclaim(*dead, item.row.key, was_bound, 0, {});
+        }
+    });
+}
+
+void grant_service::reclaim(const spend_row& dead, const std::string& key, bool was_bound,
+                            int attempt, const std::vector<table_row>& rows)
+{
+    constexpr int most_attempts = 30;
+    constexpr time_ms pause{30};
+    if (attempt >= most_attempts) {
+        log_.write("reclaim_given_up", log_fields{}.add("incarnation", dead.incarnation),
+                   loop_.now());
+        return;
+    }
+    transaction change;
+    if (attempt == 0) {
+        // Conditions that cannot hold all bring the present rows.
+        for (const auto& name : reclaim_read_set(dead)) {
+            change.conditions.push_back({name, 0});
+        }
+    } else {
+        auto planned = plan_reclaim(dead, key, was_bound, rows);
+        if (!planned) {
+            log_.write("reclaim_given_up", log_fields{}.add("why", planned.why().message),
+                       loop_.now());
+            return;
+        }
+        change = std::move(planned).value();
+    }
+    const bool last = attempt > 0;
+    store_.commit(change, [=, this](const store_commit& done) {
+        if (done.outcome.outcome == commit_outcome::committed && last) {
+            log_.write("reclaimed", log_fields{}.add("incarnation", dead.incarnation),
+                       loop_.now());
+            return;
+        }
+        auto known = rows;
+        for (const auto& row : done.current) {
+            std::erase_if(known, [&row](const table_row& old) { return old.key == row.key; });
+            known.push_back(row);
+        }
+        loop_.schedule(pause, [=, this] {
+            reclaim(dead, key, was_bound, known.empty() ? 0 : attempt + 1, known);
+        });
+    });
+}
+
 void grant_service::send(grant_write write)
 {
     ++in_flight_;
@@ -159,8 +263,15 @@
     std::list<waiter> open;
     open.swap(waiters_);
     for (auto it = open.begin(); it != open.end();) {
+        const bool last_try = final_for_all || now >= it->until;
+        // Each refusal counts as another shortage, so only a hopeful attempt is made.
+        if (!last_try && budgets_.book().available(it->account) < it->tokens &&
+            budgets_.book().platform_reachable() && !budgets_.is_exhausted(it->account, it->tokens)) {
+            waiters_.splice(waiters_.end(), open, it++);
+            continue;
+        }
         const auto outcome = budgets_.reserve(it->account, it->tokens, now);
-        const bool over = outcome || !outcome.refill_may_help || final_for_all || now >= it->until;
+        const bool over = outcome || !outcome.refill_may_help || last_try;
         auto answer = over ? std::move(it->answer) : granted{};
         if (!over) {
             waiters_.splice(waiters_.end(), open, it++);
--- a/modules/gateway/grant_service.h
+++ b/modules/gateway/grant_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/account_budgets.h"
+#include "dispatch/spend_row.h"
 #include "gateway/decision_log.h"
 #include "gateway/gateway_metrics.h"
 #include "net/event_loop.h"
@@ -21,9 +22,13 @@
     /// Called with the reservation, or with the reason for its refusal.
     using granted = std::function<void(const reserve_outcome&)>;
 
+    /// `address` is the one that callers use; only one process at a time can serve it.
     grant_service(event_loop& loop, store_client& store, decision_log& log,
-                  gateway_metrics& metrics, std::string incarnation,
-                  account_budget_options options);
+                  gateway_metrics& metrics, std::string instance, std::string incarnation,
+                  std::string address, account_budget_options options);
+
+    /// Closes the grants of earlier incarnations of this instance.
+    void recover();
 
     void set_limits(const std::map<std::string, token_count>& limits);
     [[nodiscard]] bool is_limited(std::string_view account) const
@@ -43,6 +48,22 @@
     void settle_in_full(reservation_id id);
     void release(reservation_id id);
 
+    [[nodiscard]] account_demand largest_demand(std::size_t most) const
+    {
+        return budgets_.largest_demand(most, loop_.now());
+    }
+    void set_demand_elsewhere(account_demand demand)
+    {
+        budgets_.set_demand_elsewhere(std::move(demand));
+    }
+
+    /// Whether the store answers at present.
+    void set_store_reachable(bool reachable)
+    {
+        store_reachable_ = reachable;
+        budgets_.set_store_reachable(reachable);
+    }
+
     /// Fleet size, for the division of what is left.
     void set_instances(std::int64_t instances) { instances_ = instances; }
 
@@ -53,6 +74,9 @@
     void begin_close();
     [[nodiscard]] bool is_closed() const { return budgets_.all_closed(); }
 
+    /// Key of the own spend row, to be removed once all grants are closed.
+    [[nodiscard]] std::string own_spend_key() const { return spend_key(instance_, incarnation_); }
+
 private:
     struct waiter {
         std::uint64_t id{0};
@@ -62,6 +86,9 @@
         granted answer;
     };
 
+    void publish_ceilings();
+    void reclaim(const spend_row& dead, const std::string& key, bool was_bound, int attempt,
+                 const std::vector<table_row>& rows);
     void send(grant_write write);
     void read_ledger(const std::string& account);
     void serve_waiters(bool final_for_all);
@@ -71,11 +98,16 @@
     store_client& store_;
     decision_log& log_;
     gateway_metrics& metrics_;
+    std::string instance_;
+    std::string incarnation_;
+    std::string address_;
     account_budgets budgets_;
     std::list<waiter> waiters_;
     std::uint64_t last_waiter_{0};
     std::int64_t instances_{1};
     int in_flight_{0};
+    bool ceilings_unanswered_{false};
+    bool store_reachable_{false};
     timer_id timer_{0};
 };
 
