--- a/modules/dispatch/account_budgets.cpp
+++ b/modules/dispatch/account_budgets.cpp
@@ -181,6 +181,11 @@
     }
 }
 
+token_count account_budgets::room_below_ceiling(std::string_view account) const
+{
+    return ceilings_.published(account) - book_.spent(account) - book_.reserved(account);
+}
+
 std::vector<spend_facts> account_budgets::spend(time_ms now) const
 {
     std::vector<spend_facts> found;
--- a/modules/dispatch/spend_ceilings.cpp
+++ b/modules/dispatch/spend_ceilings.cpp
@@ -8,8 +8,8 @@
 
 namespace
 {
-/// Requests that a ceiling leaves room for at least, in multiples of the largest.
-constexpr std::int64_t least_requests = 2;
+/// Room below a ceiling over what is wanted, in multiples of it, at which it is lowered.
+constexpr std::int64_t lower_at = 2;
 } // namespace
 
 spend_ceilings::spend_ceilings(spend_ceilings_options options)
@@ -22,6 +22,12 @@
     return ever_sent_ && now - sent_at_ > options_.offline_after;
 }
 
+token_count spend_ceilings::published(std::string_view account) const
+{
+    const auto found = published_.find(account);
+    return found == published_.end() ? 0 : found->second;
+}
+
 bool spend_ceilings::allow(std::string_view account, token_count total, time_ms now)
 {
     const auto found = published_.find(account);
@@ -38,7 +44,7 @@
     const auto cover = options_.offline_after + options_.interval;
     const auto demand =
         static_cast<token_count>(facts.demand_per_ms * static_cast<double>(cover.count()));
-    return facts.total + std::max(demand, least_requests * facts.request);
+    return facts.total + demand;
 }
 
 std::optional<ceiling_map> spend_ceilings::plan(const std::vector<spend_facts>& facts, time_ms now)
@@ -51,17 +57,24 @@
     for (const auto& item : facts) {
         auto& ceiling = next[item.account];
         const auto goal = wanted(item);
-        due = due || ceiling - item.total < (goal - item.total) / 2;
-        ceiling = std::max(ceiling, goal);
+        const auto room = goal - item.total;
+        due = due || ceiling - item.total < room / 2;
+        if (ceiling < goal || ceiling - item.total > lower_at * room) {
+            ceiling = goal;
+        }
         if (const auto asked = asked_.find(item.account); asked != asked_.end()) {
-            ceiling = std::max(ceiling, asked->second + item.request);
+            ceiling = std::max(ceiling, asked->second + room);
         }
     }
     return due ? std::optional{std::move(next)} : std::nullopt;
 }
 
-void spend_ceilings::sent(time_ms now)
+void spend_ceilings::sent(const ceiling_map& ceilings, time_ms now)
 {
+    for (auto& [account, ceiling] : published_) {
+        const auto next = ceilings.find(account);
+        ceiling = next == ceilings.end() ? ceiling : std::min(ceiling, next->second);
+    }
     in_flight_ = true;
     ever_sent_ = true;
     sent_at_ = now;
--- a/modules/dispatch/spend_ceilings.h
+++ b/modules/dispatch/spend_ceilings.h
@@ -52,11 +52,14 @@
                                                   time_ms now);
 
     /// A planned write was sent.
-    void sent(time_ms now);
+    void sent(const ceiling_map& ceilings, time_ms now);
     /// The write was acknowledged, so its ceilings may be used; or it may not have taken effect.
     void acknowledged(const ceiling_map& ceilings);
     void failed();
 
+    /// The ceiling that binds the account; 0 if none is published.
+    [[nodiscard]] token_count published(std::string_view account) const;
+
     /// Whether the ceilings no longer bind.
     [[nodiscard]] bool is_offline(time_ms now) const;
 
@@ -66,7 +69,7 @@
     [[nodiscard]] token_count wanted(const spend_facts& facts) const;
 
     spend_ceilings_options options_;
-    ceiling_map published_;
+    ceiling_map published_; ///< in force; lowered ones already when they are sent
     ceiling_map asked_; ///< totals that were refused since the last write
     bool in_flight_{false};
     bool ever_sent_{false};
--- a/modules/dispatch/spend_row.cpp
+++ b/modules/dispatch/spend_row.cpp
@@ -44,14 +44,9 @@
     });
 }
 
-std::string spend_prefix(std::string_view instance)
-{
-    return "spend/" + std::string{instance} + "/";
-}
-
 std::string spend_key(std::string_view instance, std::string_view incarnation)
 {
-    return spend_prefix(instance).append(incarnation);
+    return "spend/" + std::string{instance}.append("/").append(incarnation);
 }
 
 std::vector<std::string> reclaim_read_set(const spend_row& dead)
@@ -64,7 +59,7 @@
     return keys;
 }
 
-result<transaction> plan_reclaim(const spend_row& dead, const std::string& key, bool was_bound,
+result<transaction> plan_reclaim(const spend_row& dead, bool was_bound,
                                  const std::vector<table_row>& rows)
 {
     transaction change;
@@ -94,7 +89,6 @@
                 {ledger_at.key, to_text(ledger_row{ledger->allocated - returned})});
         }
     }
-    change.deletes.push_back(key);
     return change;
 }
 
--- a/modules/dispatch/spend_row.h
+++ b/modules/dispatch/spend_row.h
@@ -27,18 +27,17 @@
 /// Reads the row. Fails with `malformed_row`.
 result<spend_row> parse_spend_row(std::string_view text);
 
-/// Key of an incarnation's spend row, and the prefix of all of an instance.
+/// Key of an incarnation's spend row.
 std::string spend_key(std::string_view instance, std::string_view incarnation);
-std::string spend_prefix(std::string_view instance);
 
 /// Rows that must be known to close the grants of a dead incarnation.
 std::vector<std::string> reclaim_read_set(const spend_row& dead);
 
 /// The transaction that closes a dead incarnation's grants and returns to the ledgers what it
 /// cannot have spent: all above its ceilings if they still bound it when it died, otherwise
-/// nothing. `rows` are the present rows of the read set. Also removes the spend row, `key`.
-/// Fails with `malformed_row`.
-result<transaction> plan_reclaim(const spend_row& dead, const std::string& key, bool was_bound,
+/// nothing. `rows` are the present rows of the read set. Empty if nothing is left to close. Fails
+/// with `malformed_row`.
+result<transaction> plan_reclaim(const spend_row& dead, bool was_bound,
                                  const std::vector<table_row>& rows);
 
 } // namespace jujubevalve
--- a/modules/dispatch/stocked_grants.cpp
+++ b/modules/dispatch/stocked_grants.cpp
@@ -13,6 +13,8 @@
 constexpr std::int64_t low_free_divisor = 20;
 /// Part of the own share of the rest that is taken, so that demand that moves finds some.
 constexpr double share_used = 0.8;
+/// Least stock that is returned when little is left, as a part of a request.
+constexpr std::int64_t least_return_divisor = 8;
 /// Refused requests that one refill makes up for, in multiples of the largest.
 constexpr std::int64_t most_shortage = 4;
 } // namespace
@@ -30,8 +32,19 @@
     return own > 0 ? own / (own + others) : 0.0;
 }
 
+bool stocked_grants::is_scarce(const grant_facts& facts)
+{
+    const auto live = std::max<std::int64_t>(1, facts.live_instances);
+    const auto rest = std::max<token_count>(0, facts.available) +
+                      std::max<token_count>(0, facts.free);
+    return rest < live * facts.request;
+}
+
 token_count stocked_grants::target(const grant_facts& facts) const
 {
+    if (is_scarce(facts)) {
+        return std::min(facts.shortage, most_shortage * facts.request);
+    }
     const auto live = std::max<std::int64_t>(1, facts.live_instances);
     const auto rest = static_cast<double>(std::max<token_count>(0, facts.available) +
                                           std::max<token_count>(0, facts.free));
@@ -50,6 +63,13 @@
     }
     const auto goal = target(facts);
     const auto free = std::max<token_count>(0, facts.free);
+    if (is_scarce(facts)) {
+        const auto step = std::min(goal - facts.available, free);
+        // Small rests of settled requests are returned together with later ones.
+        return step > 0 || facts.available > facts.request / least_return_divisor
+                   ? std::max(step, -std::max<token_count>(0, facts.available))
+                   : 0;
+    }
     if (facts.available < goal / 2 || facts.available < std::min(facts.shortage, facts.request)) {
         const auto step = std::clamp<token_count>(goal - facts.available, 0, free);
         // A grant that serves no request here might serve one elsewhere.
--- a/modules/dispatch/stocked_grants.h
+++ b/modules/dispatch/stocked_grants.h
@@ -20,7 +20,8 @@
 /// Grant policy for instances that lose the store for seconds without warning: each keeps a stock
 /// for up to two horizons of its demand, and a part of what is free even without demand, since
 /// callers move to it when others fail. As a budget runs out, the stocks shrink to the instances'
-/// shares of the rest by their demand, and to single requests in the end.
+/// shares of the rest by their demand. When only a few requests are left, nobody keeps a stock:
+/// each request draws what it needs, so that the rest can serve whoever asks.
 class stocked_grants
 {
 public:
@@ -36,6 +37,9 @@
     [[nodiscard]] token_count target(const grant_facts& facts) const;
 
 private:
+    /// Whether so little is left that stocks would leave it in pieces too small for a request.
+    [[nodiscard]] static bool is_scarce(const grant_facts& facts);
+
     /// The part of the fleet's demand that arrives here, 0 to 1.
     [[nodiscard]] double share_of_demand(const grant_facts& facts) const;
 
--- a/modules/gateway/call.cpp
+++ b/modules/gateway/call.cpp
@@ -163,6 +163,7 @@
                 dispatch();
                 return;
             }
+            context_.grants.log_refusal(request_.id, account_, request_.generation->most());
             const bool exhausted = outcome.code == result_code::budget_exhausted;
             refuse(outcome.code, exhausted ? 429 : 503,
                    exhausted ? "the prepaid budget does not cover the request"
--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -83,8 +83,11 @@
     options.policy.horizon = settings.grant_horizon;
     options.timing.demand_window = settings.grant_horizon;
     options.timing.check_interval = seconds(2);
-    options.timing.retry_first = time_ms{20};
-    options.timing.retry_last = time_ms{500};
+    // A conflict brings the present rows, so the next attempt is likely to succeed.
+    options.timing.retry_first = time_ms{8};
+    options.timing.retry_last = time_ms{100};
+    // The rows of each account form a part of the store of their own.
+    options.timing.batch_size = 1;
     options.timing.exhausted_retry = time_ms{300};
     return options;
 }
--- a/modules/gateway/grant_service.cpp
+++ b/modules/gateway/grant_service.cpp
@@ -7,10 +7,10 @@
 
 namespace
 {
-/// Writes and reads under way at a time; each covers many accounts.
-constexpr int most_in_flight = 4;
+/// Writes and reads under way at a time, each for one account.
+constexpr int most_in_flight = 16;
 /// Pause before the next look while requests wait for tokens.
-constexpr time_ms waiting_pause{15};
+constexpr time_ms waiting_pause{8};
 
 std::string_view name_of(commit_outcome outcome)
 {
@@ -86,6 +86,26 @@
     budgets_.release(id);
 }
 
+void grant_service::log_refusal(std::string_view request, const std::string& account,
+                                token_count tokens)
+{
+    const auto now = loop_.now();
+    const auto facts = budgets_.book().facts(account, instances_, now);
+    log_.write("budget_refusal",
+               log_fields{}
+                   .add("id", request)
+                   .add("account", account)
+                   .add("tokens", tokens)
+                   .add("available", facts.available)
+                   .add("reserved", facts.reserved)
+                   .add("free", facts.free)
+                   .add("demand_per_s", static_cast<std::int64_t>(facts.demand_per_ms * 1000))
+                   .add("room_below_ceiling", budgets_.room_below_ceiling(account))
+                   .add("ceilings_bind", static_cast<int>(!budgets_.ceilings().is_offline(now)))
+                   .add("store_reachable", static_cast<int>(store_reachable_)),
+               now);
+}
+
 void grant_service::schedule_run(time_ms delay)
 {
     if (timer_ != 0) {
@@ -100,6 +120,8 @@
 void grant_service::run()
 {
     publish_ceilings();
+    // Before planning: what has just been granted for them must not be returned.
+    serve_waiters(false);
     while (in_flight_ < most_in_flight) {
         auto step = budgets_.next_step(instances_, loop_.now());
         if (step.write) {
@@ -110,7 +132,6 @@
             break;
         }
     }
-    serve_waiters(false);
     if (!waiters_.empty()) {
         schedule_run(waiting_pause);
     }
@@ -130,7 +151,7 @@
         return;
     }
     const spend_row row{incarnation_, address_, *store_time, *ceilings};
-    budgets_.ceilings().sent(now);
+    budgets_.ceilings().sent(*ceilings, now);
     store_.commit({{}, {{own_spend_key(), to_text(row)}}, {}},
                   [this, ceilings = *ceilings](const store_commit& done) {
                       ceilings_unanswered_ = done.outcome.outcome != commit_outcome::committed;
@@ -145,10 +166,8 @@
 
 void grant_service::recover()
 {
-    const auto prefix = split_row_name(spend_prefix(instance_));
-    // '0' follows '/', which ends the prefix.
-    const auto end = prefix.key.substr(0, prefix.key.size() - 1) + "0";
-    store_.read(prefix.table, prefix.key, end, [this](const result<row_page>& page) {
+    const auto name = split_row_name(own_spend_key());
+    store_.read(name.table, name.part, {}, {}, [this](const result<row_page>& page) {
         if (!page) {
             constexpr time_ms pause{300};
             loop_.schedule(pause, [this] { recover(); });
@@ -167,16 +186,21 @@
                            .add("age_ms", page->store_time - dead->stamp)
                            .add("bound", static_cast<int>(was_bound)),
                        loop_.now());
-            reclaim(*dead, item.row.key, was_bound, 0, {});
+            // One account at a time, since others change the ledgers meanwhile; then the row.
+            for (const auto& [account, ceiling] : dead->ceilings) {
+                auto one = *dead;
+                one.ceilings = {{account, ceiling}};
+                reclaim(one, was_bound, 0, {});
+            }
         }
     });
 }
 
-void grant_service::reclaim(const spend_row& dead, const std::string& key, bool was_bound,
-                            int attempt, const std::vector<table_row>& rows)
+void grant_service::reclaim(const spend_row& dead, bool was_bound, int attempt,
+                            const std::vector<table_row>& rows)
 {
-    constexpr int most_attempts = 30;
-    constexpr time_ms pause{30};
+    constexpr int most_attempts = 60;
+    constexpr time_ms pause{10};
     if (attempt >= most_attempts) {
         log_.write("reclaim_given_up", log_fields{}.add("incarnation", dead.incarnation),
                    loop_.now());
@@ -189,7 +213,7 @@
             change.conditions.push_back({name, 0});
         }
     } else {
-        auto planned = plan_reclaim(dead, key, was_bound, rows);
+        auto planned = plan_reclaim(dead, was_bound, rows);
         if (!planned) {
             log_.write("reclaim_given_up", log_fields{}.add("why", planned.why().message),
                        loop_.now());
@@ -200,7 +224,10 @@
     const bool last = attempt > 0;
     store_.commit(change, [=, this](const store_commit& done) {
         if (done.outcome.outcome == commit_outcome::committed && last) {
-            log_.write("reclaimed", log_fields{}.add("incarnation", dead.incarnation),
+            log_.write("reclaimed",
+                       log_fields{}
+                           .add("incarnation", dead.incarnation)
+                           .add("account", dead.ceilings.begin()->first),
                        loop_.now());
             return;
         }
@@ -210,7 +237,7 @@
             known.push_back(row);
         }
         loop_.schedule(pause, [=, this] {
-            reclaim(dead, key, was_bound, known.empty() ? 0 : attempt + 1, known);
+            reclaim(dead, was_bound, known.empty() ? 0 : attempt + 1, known);
         });
     });
 }
@@ -235,6 +262,9 @@
                 .add("took_ms", now - sent_at);
             log_.write("grant", fields, now);
         }
+        if (done.outcome.outcome == commit_outcome::conflict) {
+            schedule_run(waiting_pause);
+        }
         run();
     });
 }
@@ -244,7 +274,7 @@
     ++in_flight_;
     const auto name = split_row_name(account_budgets::ledger_row_key(account));
     // The range ends behind the one key.
-    store_.read(name.table, name.key, name.key + '\x01', [this](const result<row_page>& page) {
+    store_.read(name.table, name.part, name.key, name.key + '\x01', [this](const result<row_page>& page) {
         --in_flight_;
         if (page) {
             std::vector<table_row> rows;
--- a/modules/gateway/grant_service.h
+++ b/modules/gateway/grant_service.h
@@ -70,6 +70,9 @@
     /// Plans and sends what is due. Call it often; it is also run after each reservation.
     void run();
 
+    /// Logs what a refusal for lack of tokens was decided by.
+    void log_refusal(std::string_view request, const std::string& account, token_count tokens);
+
     /// Returns what is not spent, as requests end.
     void begin_close();
     [[nodiscard]] bool is_closed() const { return budgets_.all_closed(); }
@@ -87,7 +90,7 @@
     };
 
     void publish_ceilings();
-    void reclaim(const spend_row& dead, const std::string& key, bool was_bound, int attempt,
+    void reclaim(const spend_row& dead, bool was_bound, int attempt,
                  const std::vector<table_row>& rows);
     void send(grant_write write);
     void read_ledger(const std::string& account);
--- a/modules/gateway/table_follower.cpp
+++ b/modules/gateway/table_follower.cpp
@@ -47,7 +47,7 @@
 void table_follower::list(std::int64_t attempt, std::vector<stored_row> rows,
                           const std::string& from)
 {
-    store_.read(options_.table, from, {},
+    store_.read(options_.table, {}, from, {},
                 [this, attempt, rows = std::move(rows)](const result<row_page>& page) mutable {
                     if (attempt != attempt_) {
                         return;
