--- a/modules/dispatch/account_budgets.cpp
+++ b/modules/dispatch/account_budgets.cpp
@@ -18,6 +18,9 @@
 /// Age at which a remembered ledger is read again before a refusal.
 constexpr time_ms ledger_max_age{400};
 
+/// Requests that must be free of a budget for a ceiling to leave room for one without demand.
+constexpr std::int64_t plenty_requests = 150;
+
 std::string pool_row_text(const std::string& account, token_count limit)
 {
     return nlohmann::json{
@@ -59,7 +62,9 @@
 reserve_outcome account_budgets::reserve(std::string_view account, token_count tokens, time_ms now)
 {
     const auto total = book_.spent(account) + book_.reserved(account) + tokens;
-    if (book_.available(account) >= tokens && !ceilings_.allow(account, total, now)) {
+    // Asked in any case, so that the ceiling is raised while the grant is refilled.
+    const bool allowed = ceilings_.allow(account, total, now);
+    if (book_.available(account) >= tokens && !allowed) {
         return {0, result_code::budget_unavailable, store_reachable_};
     }
     return book_.reserve(account, tokens, now);
@@ -191,8 +196,9 @@
     std::vector<spend_facts> found;
     for (const auto& account : book_.budgets()) {
         const auto facts = book_.facts(account, 1, now);
-        found.push_back({account, book_.spent(account) + book_.reserved(account), facts.request,
-                         facts.demand_per_ms});
+        const bool plenty = facts.free > plenty_requests * facts.request;
+        found.push_back({account, book_.spent(account) + book_.reserved(account),
+                         plenty ? facts.request : 0, facts.demand_per_ms});
     }
     return found;
 }
@@ -216,6 +222,17 @@
     return demand;
 }
 
+std::vector<std::string> account_budgets::short_accounts(std::size_t most, time_ms now) const
+{
+    std::vector<std::string> found;
+    for (const auto& account : book_.budgets()) {
+        if (found.size() < most && policy_.is_short(book_.facts(account, 1, now))) {
+            found.push_back(account);
+        }
+    }
+    return found;
+}
+
 void account_budgets::begin_close()
 {
     book_.begin_close();
--- a/modules/dispatch/account_budgets.h
+++ b/modules/dispatch/account_budgets.h
@@ -75,6 +75,14 @@
 
     /// Own demand of the accounts with the largest, at most `most`.
     [[nodiscard]] account_demand largest_demand(std::size_t most, time_ms now) const;
+    /// Accounts of which this instance lacks tokens while little is free, at most `most`.
+    [[nodiscard]] std::vector<std::string> short_accounts(std::size_t most, time_ms now) const;
+    /// Other instances lack tokens of the account: a surplus is returned soon.
+    void note_shortage_elsewhere(std::string_view account, time_ms now)
+    {
+        book_.note_shortage_elsewhere(account, now);
+    }
+
     /// Demand of the other instances together.
     void set_demand_elsewhere(account_demand demand)
     {
--- a/modules/dispatch/entry_list.h
+++ b/modules/dispatch/entry_list.h
@@ -21,6 +21,7 @@
     std::int64_t number{0}; ///< of the beat, from 1 in each incarnation
     bool serving{false};    ///< takes new callers
     account_demand demand;  ///< tokens per second that its callers ask for
+    std::vector<std::string> short_of; ///< accounts of which it lacks tokens
 
     friend bool operator==(const instance_beat&, const instance_beat&) = default;
 };
--- a/modules/dispatch/spend_ceilings.cpp
+++ b/modules/dispatch/spend_ceilings.cpp
@@ -44,7 +44,7 @@
     const auto cover = options_.offline_after + options_.interval;
     const auto demand =
         static_cast<token_count>(facts.demand_per_ms * static_cast<double>(cover.count()));
-    return facts.total + demand;
+    return facts.total + std::max(demand, facts.spare);
 }
 
 std::optional<ceiling_map> spend_ceilings::plan(const std::vector<spend_facts>& facts, time_ms now)
--- a/modules/dispatch/spend_ceilings.h
+++ b/modules/dispatch/spend_ceilings.h
@@ -21,16 +21,16 @@
 struct spend_ceilings_options {
     /// After this time without a write the ceilings no longer bind, so that callers are served in
     /// an outage of the store; a successor that starts later than this must charge whole grants.
-    time_ms offline_after{3000};
+    time_ms offline_after{2500};
     /// Interval of writes while there is demand; the stamp is as old as this at most.
-    time_ms interval{500};
+    time_ms interval{400};
 };
 
 /// Present spend and demand of one account.
 struct spend_facts {
     std::string account;
     token_count total{0};   ///< spent and reserved
-    token_count request{1}; ///< largest request lately
+    token_count spare{0};   ///< room to leave even without demand
     double demand_per_ms{0};
 
     friend bool operator==(const spend_facts&, const spend_facts&) = default;
--- a/modules/dispatch/stocked_grants.cpp
+++ b/modules/dispatch/stocked_grants.cpp
@@ -26,10 +26,29 @@
 
 double stocked_grants::share_of_demand(const grant_facts& facts) const
 {
-    const auto found = elsewhere_.find(facts.budget);
-    const auto others = found == elsewhere_.end() ? 0.0 : static_cast<double>(found->second);
     const auto own = facts.demand_per_ms * 1000;
-    return own > 0 ? own / (own + others) : 0.0;
+    return own > 0 ? own / (own + demand_elsewhere(facts)) : 0.0;
+}
+
+double stocked_grants::demand_elsewhere(const grant_facts& facts) const
+{
+    const auto found = elsewhere_.find(facts.budget);
+    return found == elsewhere_.end() ? 0.0 : static_cast<double>(found->second);
+}
+
+bool stocked_grants::is_low(const grant_facts& facts) const
+{
+    const auto demand = facts.demand_per_ms + demand_elsewhere(facts) / 1000;
+    const auto outage =
+        static_cast<token_count>(demand * static_cast<double>(options_.horizon.count()));
+    return facts.free < std::max(facts.grantable / low_free_divisor, outage);
+}
+
+bool stocked_grants::is_short(const grant_facts& facts) const
+{
+    return facts.limit > 0 && is_low(facts) &&
+           (facts.available < target(facts) / 2 || facts.available < facts.request) &&
+           facts.demand_per_ms > 0;
 }
 
 bool stocked_grants::is_scarce(const grant_facts& facts)
@@ -75,8 +94,7 @@
         // A grant that serves no request here might serve one elsewhere.
         return facts.available + step >= facts.request ? step : 0;
     }
-    const bool is_low = free < facts.grantable / low_free_divisor;
-    return is_low && facts.available > surplus_factor * goal ? goal - facts.available : 0;
+    return is_low(facts) && facts.available > surplus_factor * goal ? goal - facts.available : 0;
 }
 
 } // namespace jujubevalve
--- a/modules/dispatch/stocked_grants.h
+++ b/modules/dispatch/stocked_grants.h
@@ -14,7 +14,7 @@
 /// Settings of stocked_grants.
 struct stocked_grants_options {
     time_ms horizon{10'000};       ///< an outage of the store that must refuse nobody
-    std::int64_t floor_divisor{8}; ///< all instances together stock this part of what is free
+    std::int64_t floor_divisor{16}; ///< all instances together stock this part of what is free
 };
 
 /// Grant policy for instances that lose the store for seconds without warning: each keeps a stock
@@ -33,6 +33,10 @@
     /// Tokens to add or return, see `grant_policy`.
     [[nodiscard]] token_count wanted(const grant_facts& facts) const;
 
+    /// Whether the own stock is far below its target and little is free: others should return
+    /// what they do not need.
+    [[nodiscard]] bool is_short(const grant_facts& facts) const;
+
     /// The available tokens to aim for.
     [[nodiscard]] token_count target(const grant_facts& facts) const;
 
@@ -40,6 +44,10 @@
     /// Whether so little is left that stocks would leave it in pieces too small for a request.
     [[nodiscard]] static bool is_scarce(const grant_facts& facts);
 
+    /// Whether what is free would not last for an outage.
+    [[nodiscard]] bool is_low(const grant_facts& facts) const;
+    [[nodiscard]] double demand_elsewhere(const grant_facts& facts) const;
+
     /// The part of the fleet's demand that arrives here, 0 to 1.
     [[nodiscard]] double share_of_demand(const grant_facts& facts) const;
 
--- a/modules/gateway/fleet_view.cpp
+++ b/modules/gateway/fleet_view.cpp
@@ -167,6 +167,12 @@
             entries_.remove(instance);
         } else if (const auto beat = decode_beat(item.row.value)) {
             entries_.observe(*beat, loop_.now());
+            if (beat->instance == own_.instance || !on_shortage_elsewhere) {
+                continue;
+            }
+            for (const auto& account : beat->short_of) {
+                on_shortage_elsewhere(account);
+            }
         }
     }
 }
@@ -221,6 +227,7 @@
     ++own_.number;
     if (own_demand) {
         own_.demand = own_demand();
+        own_.short_of = own_shortages();
     }
     store_.commit({{}, {{beat_key(own_.instance), encode_beat(own_)}}, {}},
                   [this](const store_commit& /*outcome*/) {
--- a/modules/gateway/fleet_view.h
+++ b/modules/gateway/fleet_view.h
@@ -33,6 +33,10 @@
 
     /// Asked for what the beat says of the own demand.
     std::function<account_demand()> own_demand;
+    /// Asked for the accounts of which this instance lacks tokens.
+    std::function<std::vector<std::string>()> own_shortages;
+    /// Told of accounts of which other instances lack tokens.
+    std::function<void(const std::string& account)> on_shortage_elsewhere;
 
     /// The configuration in force; null before the first.
     [[nodiscard]] const fleet_config_ptr& config() const { return config_; }
--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -88,6 +88,7 @@
     options.timing.retry_last = time_ms{100};
     // The rows of each account form a part of the store of their own.
     options.timing.batch_size = 1;
+    options.timing.hint_interval = seconds(1);
     options.timing.exhausted_retry = time_ms{300};
     return options;
 }
@@ -165,6 +166,10 @@
                    loop_.now());
         view_.on_config = [this](const fleet_config_ptr& config) { take_limits(*config); };
         view_.own_demand = [this] { return grants_.largest_demand(published_accounts); };
+        view_.own_shortages = [this] { return grants_.short_accounts(published_accounts); };
+        view_.on_shortage_elsewhere = [this](const std::string& account) {
+            grants_.note_shortage_elsewhere(account);
+        };
         view_.start();
         grants_.recover();
         upkeep();
--- a/modules/gateway/grant_service.h
+++ b/modules/gateway/grant_service.h
@@ -52,6 +52,14 @@
     {
         return budgets_.largest_demand(most, loop_.now());
     }
+    [[nodiscard]] std::vector<std::string> short_accounts(std::size_t most) const
+    {
+        return budgets_.short_accounts(most, loop_.now());
+    }
+    void note_shortage_elsewhere(const std::string& account)
+    {
+        budgets_.note_shortage_elsewhere(account, loop_.now());
+    }
     void set_demand_elsewhere(account_demand demand)
     {
         budgets_.set_demand_elsewhere(std::move(demand));
