--- a/modules/dispatch/spend_ceilings.cpp
+++ b/modules/dispatch/spend_ceilings.cpp
@@ -10,6 +10,8 @@
 {
 /// Room below a ceiling over what is wanted, in multiples of it, at which it is lowered.
 constexpr std::int64_t lower_at = 2;
+/// Demand in a few seconds varies around its average; requests differ in size by a factor of ten.
+constexpr double demand_margin = 1.6;
 } // namespace
 
 spend_ceilings::spend_ceilings(spend_ceilings_options options)
@@ -42,8 +44,8 @@
 token_count spend_ceilings::wanted(const spend_facts& facts) const
 {
     const auto cover = options_.offline_after + options_.interval;
-    const auto demand =
-        static_cast<token_count>(facts.demand_per_ms * static_cast<double>(cover.count()));
+    const auto demand = static_cast<token_count>(demand_margin * facts.demand_per_ms *
+                                                 static_cast<double>(cover.count()));
     return facts.total + std::max(demand, facts.spare);
 }
 
