--- a/modules/dispatch/server_directory.cpp
+++ b/modules/dispatch/server_directory.cpp
@@ -153,6 +153,19 @@
     state.avoid_until = now + std::min(pause, longest_avoidance);
 }
 
+void server_directory::heard(std::string_view id, time_ms now)
+{
+    if (auto* const state = find(id)) {
+        state->heard_at = now;
+    }
+}
+
+bool server_directory::is_silent_since(std::string_view id, time_ms since)
+{
+    const auto* const state = find(id);
+    return state == nullptr || state->heard_at <= since;
+}
+
 void server_directory::reported(std::string_view id, const server_load& load, time_ms now)
 {
     if (auto* const state = find(id)) {
--- a/modules/dispatch/server_directory.h
+++ b/modules/dispatch/server_directory.h
@@ -32,6 +32,7 @@
     token_count own_unread_tokens{0};  ///< prompt tokens sent there and not yet answered
     std::optional<server_load> report; ///< the last one received
     time_ms report_at{};
+    time_ms heard_at{}; ///< when the last byte came from it
     std::int64_t sent_since_report{0};
     int failures{0};        ///< consecutive unreachable verdicts
     int errors{0};          ///< consecutive bad answers
@@ -73,6 +74,9 @@
     void prompt_read(std::string_view id, token_count unread_tokens);
     /// A request has left the server.
     void ended(std::string_view id, server_verdict verdict, time_ms now);
+    void heard(std::string_view id, time_ms now);
+    /// Whether nothing has come from the server since then, so that it may be out of reach.
+    [[nodiscard]] bool is_silent_since(std::string_view id, time_ms since);
     void reported(std::string_view id, const server_load& load, time_ms now);
     void answered_within(std::string_view id, time_ms latency);
 
--- a/modules/gateway/call.cpp
+++ b/modules/gateway/call.cpp
@@ -223,12 +223,8 @@
                 attempt_timer_ = 0;
                 connect_timed_out();
             });
-    } else if (route_->kind == call_kind::idempotent) {
-        attempt_timer_ =
-            context_.loop.schedule(route_->objective * patience_in_objectives, [this] {
-                attempt_timer_ = 0;
-                no_answer_in_time();
-            });
+    } else {
+        watch_answer();
     }
     connection_->send(encode_forwarded_call(head_, body_, fields), head_.method == "HEAD", *this);
 }
@@ -236,23 +232,33 @@
 void call::connect_timed_out()
 {
     if (connection_->is_connected()) {
-        if (route_->kind == call_kind::idempotent) {
-            const auto patience = route_->objective * patience_in_objectives;
-            attempt_timer_ = context_.loop.schedule(
-                sent_at_ + patience - context_.loop.now(), [this] {
-                    attempt_timer_ = 0;
-                    no_answer_in_time();
-                });
-        }
+        watch_answer();
         return;
     }
     connection_->abandon();
     on_exchange_failed(exchange_failure::not_connected);
 }
 
+void call::watch_answer()
+{
+    if (!may_run_again()) {
+        return;
+    }
+    const auto patience = route_->objective * patience_in_objectives;
+    attempt_timer_ = context_.loop.schedule(sent_at_ + patience - context_.loop.now(), [this] {
+        attempt_timer_ = 0;
+        no_answer_in_time();
+    });
+}
+
 void call::no_answer_in_time()
 {
-    if (!may_send_again(true)) {
+    // A prompt may wait behind others at a busy server; then its place in the queue is worth more
+    // than a new start elsewhere.
+    const bool may_be_queued =
+        route_->kind == call_kind::stream &&
+        !context_.view.servers().is_silent_since(server_id_, sent_at_);
+    if (may_be_queued || !may_send_again(true)) {
         return;
     }
     leave_server(server_verdict::unreachable);
@@ -275,6 +281,7 @@
     }
     response_ = std::move(response);
     response_head_ = head;
+    context_.view.servers().heard(server_id_, context_.loop.now());
     if (response_.load) {
         context_.view.servers().reported(server_id_, *response_.load, context_.loop.now());
     }
@@ -291,6 +298,7 @@
 
 void call::on_response_body(std::string_view bytes)
 {
+    context_.view.servers().heard(server_id_, context_.loop.now());
     if (in_stream_) {
         events_.add(bytes);
         relay_events();
@@ -364,7 +372,8 @@
 
 void call::stream_stalled()
 {
-    if (events_sent_ == 0 || !may_send_again(true)) {
+    if (!context_.view.servers().is_silent_since(server_id_, last_event_at_) ||
+        !may_send_again(true)) {
         last_event_at_ = context_.loop.now();
         watch_stream();
         return;
--- a/modules/gateway/call.h
+++ b/modules/gateway/call.h
@@ -49,6 +49,7 @@
     void dispatch();
     void send_to(server_state& server);
     void connect_timed_out();
+    void watch_answer();
     void no_answer_in_time();
     void stream_stalled();
     void watch_stream();
--- a/modules/gateway/fleet_view.cpp
+++ b/modules/gateway/fleet_view.cpp
@@ -185,6 +185,9 @@
     reachable_ = reachable;
     entries_.set_reachable(reachable, loop_.now());
     servers_.set_registry_reachable(reachable, loop_.now());
+    if (on_reachable) {
+        on_reachable(reachable);
+    }
     metrics_.count(reachable ? "store_regained" : "store_lost");
     log_.write(reachable ? "store_regained" : "store_lost", log_fields{}, loop_.now());
     // Questions still open on old connections may never be answered.
--- a/modules/gateway/fleet_view.h
+++ b/modules/gateway/fleet_view.h
@@ -31,6 +31,8 @@
     /// Called with each configuration that comes into force.
     std::function<void(const fleet_config_ptr&)> on_config;
 
+    /// Told when the store is out of reach, and when it is back.
+    std::function<void(bool reachable)> on_reachable;
     /// Asked for what the beat says of the own demand.
     std::function<account_demand()> own_demand;
     /// Asked for the accounts of which this instance lacks tokens.
--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -165,6 +165,7 @@
                        .add("listen", settings_.listen),
                    loop_.now());
         view_.on_config = [this](const fleet_config_ptr& config) { take_limits(*config); };
+        view_.on_reachable = [this](bool reachable) { grants_.set_store_reachable(reachable); };
         view_.own_demand = [this] { return grants_.largest_demand(published_accounts); };
         view_.own_shortages = [this] { return grants_.short_accounts(published_accounts); };
         view_.on_shortage_elsewhere = [this](const std::string& account) {
@@ -225,7 +226,6 @@
         connections_.close_idle();
         const auto instances = view_.instance_count();
         grants_.set_instances(instances);
-        grants_.set_store_reachable(view_.is_reachable());
         grants_.set_demand_elsewhere(view_.demand_elsewhere());
         for (auto& [service, budget] : context_.retry_budgets) {
             budget.set_instances(instances);
--- a/tests/process/child_process.cpp
+++ b/modules/standins/child_process.cpp
@@ -1,4 +1,4 @@
-#include "process/child_process.h"
+#include "standins/child_process.h"
 
 #include "core/clock.h"
 
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
+#include <filesystem>
 #include <poll.h>
 #include <spawn.h>
 #include <sstream>
@@ -34,6 +35,11 @@
     return kept;
 }
 
+std::string own_folder()
+{
+    return std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
+}
+
 std::vector<char*> pointers(std::vector<std::string>& texts)
 {
     std::vector<char*> result;
@@ -45,7 +51,8 @@
 }
 } // namespace
 
-child_process::child_process(const std::string& program, const std::vector<std::string>& arguments)
+child_process::child_process(const std::string& program, const std::vector<std::string>& arguments,
+                             const std::string& log_file)
     : name_{program}
 {
     int ends[2] = {-1, -1};
@@ -53,12 +60,18 @@
         throw std::runtime_error{"cannot make a pipe"};
     }
     output_ = ends[0];
-    std::vector<std::string> words{JUJUBEVALVE_BIN_DIR "/" + program};
+    std::vector<std::string> words{own_folder() + "/" + program};
     words.insert(words.end(), arguments.begin(), arguments.end());
     auto environment = clean_environment();
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+    if (log_file.empty()) {
+        posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+    } else {
+        constexpr mode_t mode = 0644;
+        posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_file.c_str(),
+                                         O_WRONLY | O_CREAT | O_APPEND, mode);
+    }
     // Log lines of the programs are wanted only when a failure is looked into.
     if (std::getenv("PROCESS_TESTS_LOG") == nullptr) {
         const auto target = program == "jujubevalve-ctl" ? "/dev/stdout" : "/dev/null";
--- a/tests/process/child_process.h
+++ b/modules/standins/child_process.h
@@ -10,13 +10,15 @@
 namespace jujubevalve::process
 {
 
-/// A program of the build folder that runs as a child. What is left of it is killed by the
+/// A program that lies beside this one and runs as a child. What is left of it is killed by the
 /// destructor.
 class child_process
 {
 public:
-    /// Starts the program. Throws std::runtime_error if it cannot.
-    child_process(const std::string& program, const std::vector<std::string>& arguments);
+    /// Starts the program; its output goes to `log_file`, or can be read here if that is empty.
+    /// Throws std::runtime_error if it cannot.
+    child_process(const std::string& program, const std::vector<std::string>& arguments,
+                  const std::string& log_file = {});
     ~child_process();
     child_process(const child_process&) = delete;
     child_process& operator=(const child_process&) = delete;
--- /dev/null
+++ b/modules/standins/site/run_book.cpp
@@ -0,0 +1,81 @@
+#include "standins/site/run_book.h"
+
+#include "core/digest.h"
+
+namespace jujubevalve::site
+{
+
+void run_book::began(const std::string& id, const std::string& account, token_count prompt_tokens)
+{
+    const std::lock_guard lock{mutex_};
+    auto& item = records_[id];
+    item.account = account;
+    item.prompt = prompt_tokens;
+    ++item.runs;
+}
+
+void run_book::delivered(const std::string& id, int event, token_count tokens)
+{
+    const std::lock_guard lock{mutex_};
+    records_[id].events[event] = tokens;
+}
+
+void run_book::violated(const std::string& what)
+{
+    const std::lock_guard lock{mutex_};
+    violations_.push_back(what);
+}
+
+int run_book::runs(const std::string& id) const
+{
+    const std::lock_guard lock{mutex_};
+    const auto found = records_.find(id);
+    return found == records_.end() ? 0 : found->second.runs;
+}
+
+token_count run_book::spent(const std::string& account) const
+{
+    const std::lock_guard lock{mutex_};
+    token_count sum = 0;
+    for (const auto& [id, item] : records_) {
+        if (item.account != account) {
+            continue;
+        }
+        sum += item.prompt;
+        for (const auto& [event, tokens] : item.events) {
+            sum += tokens;
+        }
+    }
+    return sum;
+}
+
+std::vector<std::string> run_book::violations() const
+{
+    const std::lock_guard lock{mutex_};
+    return violations_;
+}
+
+std::string event_text(const std::string& id, int number)
+{
+    return "id: " + std::to_string(number) + "\ndata: " +
+           std::to_string(hash64(id, static_cast<std::uint64_t>(number))) + "\n\n";
+}
+
+int event_count(const std::string& id)
+{
+    constexpr int least = 3;
+    constexpr int spread = 12;
+    return least + static_cast<int>(hash64(id) % spread);
+}
+
+std::string plain_body(const std::string& id)
+{
+    return "result of " + id + " " + std::to_string(hash64(id, 77));
+}
+
+std::string signature_of(const std::string& id)
+{
+    return "s" + std::to_string(hash64(id, 99));
+}
+
+} // namespace jujubevalve::site
--- /dev/null
+++ b/modules/standins/site/server_standin.cpp
@@ -0,0 +1,112 @@
+#include "standins/site/server_standin.h"
+
+#include <chrono>
+#include <cstdlib>
+#include <thread>
+#include <utility>
+
+namespace jujubevalve::site
+{
+
+namespace
+{
+http_response cut()
+{
+    http_response response;
+    response.stream = [](std::string& /*bytes*/) { return stream_step::cut; };
+    return response;
+}
+
+void pause(int ms)
+{
+    std::this_thread::sleep_for(std::chrono::milliseconds{ms});
+}
+} // namespace
+
+server_standin::server_standin(std::string id, run_book& book, std::uint64_t seed)
+    : id_{std::move(id)}
+    , book_{book}
+    , random_{static_cast<std::minstd_rand::result_type>(seed)}
+    , server_{std::make_unique<http_server>(
+          http_server_options{}, [this](const http_request& request) { return handle(request); })}
+{
+}
+
+server_standin::~server_standin()
+{
+    server_->stop();
+}
+
+bool server_standin::draw(int thousandths)
+{
+    const std::lock_guard lock{mutex_};
+    return std::uniform_int_distribution<int>{0, 999}(random_) < thousandths;
+}
+
+http_response server_standin::handle(const http_request& request)
+{
+    const std::string id{request.header("x-request-id")};
+    const std::string expected{request.header("x-expect-instance")};
+    if (expected != id_) {
+        return {421, {{"X-Instance-Id", id_}}, {}, {}, {}};
+    }
+    if (id.empty()) {
+        return {400, {{"X-Not-Executed", "1"}}, {}, {}, {}};
+    }
+    if (!request.header("x-key").empty()) {
+        book_.violated("the key of " + id + " was passed on");
+    }
+    if (draw(refuse)) {
+        return {503, {{"X-Not-Executed", "1"}, {"X-Request-Id", id}}, {}, {}, {}};
+    }
+    const std::string usage{request.header("x-token-usage")};
+    book_.began(id, std::string{request.header("x-tenant")}, std::atoll(usage.c_str()));
+    const http_headers signed_headers{{"X-Request-Id", id},
+                                      {"X-Server-Signature", signature_of(id)},
+                                      {"X-Server-Load", "1,0,64"}};
+    if (draw(lose_answer)) {
+        return cut();
+    }
+    if (draw(fail)) {
+        return {500, signed_headers, "failed", {}, {}};
+    }
+    if (!usage.empty()) {
+        auto response = stream(request, id);
+        response.headers.insert(signed_headers.begin(), signed_headers.end());
+        return response;
+    }
+    pause(work_ms);
+    return {200, signed_headers, plain_body(id), {}, {}};
+}
+
+http_response server_standin::stream(const http_request& request, const std::string& id)
+{
+    const std::string last{request.header("last-event-id")};
+    const int count = event_count(id);
+    int next = std::atoi(last.c_str()) + 1;
+    int cut_at = draw(cut_stream) ? next + count / 3 : -1;
+    http_response response;
+    response.headers["Content-Type"] = "text/event-stream";
+    response.stream = [this, id, next, count, cut_at](std::string& bytes) mutable {
+        if (next < 0) {
+            return stream_step::cut;
+        }
+        if (next > count) {
+            return stream_step::end;
+        }
+        pause(work_ms);
+        bytes = event_text(id, next);
+        if (next == cut_at) {
+            bytes.resize(bytes.size() / 2);
+            cut_at = -1;
+            next = -1;
+            return stream_step::data;
+        }
+        book_.delivered(id, next, tokens_per_event);
+        ++next;
+        return stream_step::data;
+    };
+    return response;
+}
+
+} // namespace jujubevalve::site
--- /dev/null
+++ b/modules/standins/site/site.cpp
@@ -0,0 +1,173 @@
+#include "standins/site/site.h"
+
+#include "core/clock.h"
+#include "http/http_client.h"
+
+#include <arpa/inet.h>
+#include <chrono>
+#include <netinet/in.h>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+namespace jujubevalve::site
+{
+
+namespace
+{
+using nlohmann::json;
+
+// A port that was free a moment ago.
+std::string free_address()
+{
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in local{};
+    local.sin_family = AF_INET;
+    local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof local;
+    const bool bound =
+        ::bind(descriptor, reinterpret_cast<sockaddr*>(&local), size) == 0 &&
+        ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&local), &size) == 0;
+    ::close(descriptor);
+    if (!bound) {
+        throw std::runtime_error{"no free port on loopback"};
+    }
+    return "127.0.0.1:" + std::to_string(ntohs(local.sin_port));
+}
+
+json route(const std::string& name, const std::string& prefix, const char* type,
+           const char* service, int attempts, bool resumable)
+{
+    return {{"name", name},
+            {"host", site::host},
+            {"prefix", prefix},
+            {"type", type},
+            {"timeout-ms", 4000},
+            {"target-latency-ms", 600},
+            {"priority", 0},
+            {"service", service},
+            {"max-attempts", attempts},
+            {"public", false},
+            {"sticky", false},
+            {"resumable", resumable},
+            {"itl-target-ms", 250}};
+}
+} // namespace
+
+site::site(const site_options& options)
+    : options_{options}
+    , store_{options.seed}
+    , prepaid_{options.prepaid}
+{
+    publish();
+    const auto add = [&](const std::string& id, const char* service) {
+        site_server made;
+        made.server = std::make_unique<server_standin>(id, book_, options.seed + servers_.size());
+        made.path = std::make_unique<tcp_relay>(made.server->address());
+        made.service = service;
+        announce(made);
+        servers_.push_back(std::move(made));
+    };
+    for (int i = 0; i < options.engines; ++i) {
+        add("engine-" + std::to_string(i), "models");
+    }
+    for (int i = 0; i < options.plain_servers; ++i) {
+        add("plain-" + std::to_string(i), "orders");
+    }
+    for (int i = 0; i < options.gateways; ++i) {
+        site_gateway made{"gateway-" + std::to_string(i), free_address(), free_address(),
+                          free_address(), std::make_unique<tcp_relay>(store_.address()), nullptr};
+        gateways_.push_back(std::move(made));
+    }
+    for (auto& gateway : gateways_) {
+        start(gateway);
+    }
+}
+
+site::~site() = default;
+
+void site::start(site_gateway& gateway)
+{
+    gateway.process = std::make_unique<process::child_process>(
+        "jujubevalve-gateway",
+        std::vector<std::string>{"--instance=" + gateway.name, "--failure_domain=a",
+                                 "--listen=" + gateway.listen,
+                                 "--readiness_listen=" + gateway.readiness,
+                                 "--directory_listen=" + gateway.directory,
+                                 "--store=" + gateway.store_path->address(),
+                                 "--retry_slack=1000", "--stop_limit_ms=8000"},
+        options_.log_folder + "/" + gateway.name + ".log");
+}
+
+bool site::wait_ready(const site_gateway& gateway, time_ms limit)
+{
+    http_client client;
+    const auto deadline = steady_clock_ms{}.now() + limit;
+    while (steady_clock_ms{}.now() < deadline) {
+        http_call call;
+        call.url = "http://" + gateway.readiness + "/v1/readyz";
+        call.timeout = time_ms{500};
+        if (client.perform(call).ok()) {
+            return true;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds{20});
+    }
+    return false;
+}
+
+void site::announce(site_server& server, bool leaving)
+{
+    server.registered = true;
+    const json entry{{"service", server.service},
+                     {"address", server.path->address()},
+                     {"zone", "a"},
+                     {"version", "v1"},
+                     {"max-concurrency", 64},
+                     {"state", leaving ? "draining" : "ready"},
+                     {"warmup-left-ms", 0},
+                     {"sequence", 1},
+                     {"born", 1}};
+    store_.rows().put("servers", server.server->id(), entry.dump());
+}
+
+void site::withdraw(site_server& server)
+{
+    server.registered = false;
+    store_.rows().put("servers", server.server->id(), {});
+}
+
+int site::publish(token_count prepaid)
+{
+    prepaid_ = prepaid;
+    ++version_;
+    json routes = json::array(
+        {route("chat", "/chat/", "streaming", "models", 3, true),
+         route("note", "/note/", "streaming", "models", 1, false),
+         route("order", "/order/", "non_idempotent", "orders", 1, false),
+         route("stock", "/stock/", "idempotent", "orders", 3, false),
+         route("own", "/v" + std::to_string(version_) + "/", "idempotent", "orders", 2, false)});
+    json accounts = json::array();
+    for (int i = 1; i <= 2; ++i) {
+        const auto number = std::to_string(i);
+        accounts.push_back({{"name", "account-" + number},
+                            {"api-keys", {"key-" + number}},
+                            {"prepaid", prepaid_}});
+    }
+    const json config{
+        {"version", version_},
+        {"routes", std::move(routes)},
+        {"services",
+         {{{"name", "models"},
+           {"health-path", "/healthz"},
+           {"max-connections", 100},
+           {"engine", {{"max-concurrency", 64}, {"kv-capacity-tokens", 300000}, {"stride", 3}}}},
+          {{"name", "orders"}, {"health-path", "/healthz"}, {"max-connections", 100}}}},
+        {"limits", json::object()},
+        {"tenants", std::move(accounts)}};
+    store_.rows().put("op", "config", config.dump());
+    return version_;
+}
+
+} // namespace jujubevalve::site
--- /dev/null
+++ b/modules/standins/site/site.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "core/time_ms.h"
+#include "standins/child_process.h"
+#include "standins/site/run_book.h"
+#include "standins/site/server_standin.h"
+#include "standins/site/store_standin.h"
+#include "standins/tcp_relay.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace jujubevalve::site
+{
+
+/// Sizes of a site.
+struct site_options {
+    int gateways{3};
+    int engines{3};
+    int plain_servers{2};
+    token_count prepaid{10'000'000};
+    std::uint64_t seed{1};
+    std::string log_folder{"/tmp"};
+};
+
+/// A gateway process and the relay between it and the store.
+struct site_gateway {
+    std::string name;
+    std::string listen;
+    std::string readiness;
+    std::string directory;
+    std::unique_ptr<tcp_relay> store_path;
+    std::unique_ptr<process::child_process> process;
+};
+
+/// A server, and the relay that stands for the network before it.
+struct site_server {
+    std::unique_ptr<server_standin> server;
+    std::unique_ptr<tcp_relay> path;
+    std::string service;
+    bool registered{false};
+};
+
+/// The store, servers and gateways of one deployment on loopback, with two accounts. Key "key-N"
+/// belongs to account "account-N".
+class site
+{
+public:
+    explicit site(const site_options& options);
+    ~site();
+    site(const site&) = delete;
+    site& operator=(const site&) = delete;
+
+    static constexpr const char* host = "site.example";
+
+    [[nodiscard]] store_standin& store() { return store_; }
+    [[nodiscard]] run_book& book() { return book_; }
+    [[nodiscard]] std::vector<site_gateway>& gateways() { return gateways_; }
+    [[nodiscard]] std::vector<site_server>& servers() { return servers_; }
+    [[nodiscard]] const site_options& options() const { return options_; }
+
+    /// Starts, or starts again, a gateway.
+    void start(site_gateway& gateway);
+
+    /// Waits until the gateway says that it is ready; false if it takes longer.
+    bool wait_ready(const site_gateway& gateway, time_ms limit = seconds(15));
+
+    /// Registers a server as ready or leaving, or takes its registration away.
+    void announce(site_server& server, bool leaving = false);
+    void withdraw(site_server& server);
+
+    /// Writes the next version of the configuration and returns its number. Every version has a
+    /// route `/v<version>/` of its own beside the lasting ones.
+    int publish(token_count prepaid);
+    int publish() { return publish(prepaid_); }
+    [[nodiscard]] token_count prepaid() const { return prepaid_; }
+
+private:
+    site_options options_;
+    store_standin store_;
+    run_book book_;
+    std::vector<site_server> servers_;
+    std::vector<site_gateway> gateways_;
+    token_count prepaid_;
+    int version_{0};
+};
+
+} // namespace jujubevalve::site
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -3,7 +3,7 @@
 #include "budget/budget.h"
 #include "config/config.h"
 #include "storage/http_platform.h"
-#include "process/child_process.h"
+#include "standins/child_process.h"
 #include "process/polling.h"
 
 #include <map>
