--- /dev/null
+++ b/apps/soak/fault_plan.cpp
@@ -0,0 +1,288 @@
+#include "fault_plan.h"
+
+#include "core/clock.h"
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <thread>
+#include <utility>
+
+namespace jujubevalve::soak
+{
+
+namespace
+{
+using site::site_gateway;
+using site::site_server;
+
+/// A change must be in force within this time on a calm site; the users' bound.
+constexpr time_ms config_bound{2000};
+/// The store's entries are back within 2 s of its return, and beats within another.
+constexpr time_ms settling{4000};
+
+time_ms now()
+{
+    return steady_clock_ms{}.now();
+}
+
+void wait(time_ms time)
+{
+    std::this_thread::sleep_for(std::chrono::milliseconds{time.count()});
+}
+
+time_ms ms(int count)
+{
+    return time_ms{count};
+}
+} // namespace
+
+fault_plan::fault_plan(site::site& deployment, site::site_caller& caller, std::uint64_t seed)
+    : site_{deployment}
+    , caller_{caller}
+    , random_{static_cast<std::minstd_rand::result_type>(seed * 7919 + 1)}
+{
+}
+
+int fault_plan::draw(int low, int high)
+{
+    return std::uniform_int_distribution<int>{low, high}(random_);
+}
+
+time_ms fault_plan::pause()
+{
+    return ms(draw(100, 900));
+}
+
+site_gateway& fault_plan::any_gateway()
+{
+    auto& all = site_.gateways();
+    return all[static_cast<std::size_t>(draw(0, static_cast<int>(all.size()) - 1))];
+}
+
+site_server& fault_plan::any_server()
+{
+    auto& all = site_.servers();
+    return all[static_cast<std::size_t>(draw(0, static_cast<int>(all.size()) - 1))];
+}
+
+void fault_plan::later(time_ms after, std::function<void()> undo)
+{
+    open_.push_back({now() + after, std::move(undo)});
+}
+
+void fault_plan::restart(site_gateway& gateway)
+{
+    if (gateway.process->wait_ended(time_ms{0})) {
+        site_.start(gateway);
+    }
+}
+
+std::string fault_plan::step()
+{
+    for (std::size_t i = 0; i < open_.size();) {
+        if (open_[i].until > now()) {
+            ++i;
+            continue;
+        }
+        const auto undo = std::move(open_[i].undo);
+        open_.erase(open_.begin() + static_cast<std::ptrdiff_t>(i));
+        undo();
+    }
+    switch (draw(0, 9)) {
+    case 0:
+    case 1:
+    case 2:
+        return process_fault();
+    case 3:
+    case 4:
+    case 5:
+        return store_fault();
+    case 6:
+    case 7:
+        return server_fault();
+    default:
+        return operator_change();
+    }
+}
+
+std::string fault_plan::process_fault()
+{
+    auto& gateway = any_gateway();
+    switch (draw(0, 4)) {
+    case 0:
+        gateway.process->send(SIGKILL);
+        later(ms(draw(200, 3000)), [this, &gateway] { restart(gateway); });
+        return "kill " + gateway.name;
+    case 1:
+        gateway.process->send(SIGSTOP);
+        later(ms(draw(300, 5000)), [&gateway] { gateway.process->send(SIGCONT); });
+        return "pause " + gateway.name;
+    case 2:
+        gateway.process->send(SIGTERM);
+        later(ms(draw(8200, 9000)), [this, &gateway] {
+            gateway.process->send(SIGKILL);
+            gateway.process->wait_ended(seconds(1));
+            restart(gateway);
+        });
+        return "stop " + gateway.name;
+    case 3:
+        gateway.process->send(SIGHUP);
+        return "reload " + gateway.name;
+    default:
+        for (auto& each : site_.gateways()) {
+            each.process->send(SIGKILL);
+        }
+        later(ms(draw(300, 1500)), [this] {
+            for (auto& each : site_.gateways()) {
+                each.process->wait_ended(seconds(1));
+                restart(each);
+            }
+        });
+        return "kill all";
+    }
+}
+
+std::string fault_plan::store_fault()
+{
+    auto& store = site_.store();
+    auto& gateway = any_gateway();
+    const auto time = ms(draw(500, 6000));
+    switch (draw(0, 6)) {
+    case 0:
+        store.refuse_with = 503;
+        later(time, [&store] { store.refuse_with = 0; });
+        return "store down";
+    case 1:
+        store.delay_ms = draw(50, 300);
+        later(time, [&store] { store.delay_ms = 0; });
+        return "store slow";
+    case 2:
+        store.lose_answers = draw(100, 500);
+        later(time, [&store] { store.lose_answers = 0; });
+        return "store loses answers";
+    case 3:
+        store.rows().forget_history();
+        return "store forgets its history";
+    case 4:
+        gateway.store_path->silence_open();
+        return "silent connections to the store of " + gateway.name;
+    case 5:
+        gateway.store_path->set_mode(tcp_relay::mode::silent);
+        gateway.store_path->silence_open();
+        later(time, [&gateway] { gateway.store_path->set_mode(tcp_relay::mode::carry); });
+        return "store cut from " + gateway.name;
+    default:
+        gateway.store_path->set_mode(tcp_relay::mode::refuse);
+        gateway.store_path->cut_open();
+        later(time, [&gateway] { gateway.store_path->set_mode(tcp_relay::mode::carry); });
+        return "store refuses " + gateway.name;
+    }
+}
+
+std::string fault_plan::server_fault()
+{
+    auto& item = any_server();
+    auto& server = *item.server;
+    const auto time = ms(draw(500, 5000));
+    const auto name = " at " + server.id();
+    switch (draw(0, 6)) {
+    case 0:
+        server.refuse = draw(100, 900);
+        later(time, [&server] { server.refuse = 0; });
+        return "refusals" + name;
+    case 1:
+        server.fail = draw(100, 900);
+        later(time, [&server] { server.fail = 0; });
+        return "errors" + name;
+    case 2:
+        server.lose_answer = draw(100, 900);
+        later(time, [&server] { server.lose_answer = 0; });
+        return "lost answers" + name;
+    case 3:
+        server.cut_stream = draw(100, 900);
+        later(time, [&server] { server.cut_stream = 0; });
+        return "broken streams" + name;
+    case 4:
+        item.path->set_mode(tcp_relay::mode::silent);
+        item.path->silence_open();
+        later(time, [&item] { item.path->set_mode(tcp_relay::mode::carry); });
+        return "silence" + name;
+    case 5:
+        item.path->cut_open();
+        return "reset connections" + name;
+    default:
+        site_.announce(item, true);
+        later(time, [this, &item] { site_.announce(item); });
+        return "leaving" + name;
+    }
+}
+
+std::string fault_plan::operator_change()
+{
+    if (draw(0, 2) == 0) {
+        // A limit may rise only: what was spent cannot be taken back.
+        site_.publish(site_.prepaid() + draw(0, 20'000));
+        return "top-up";
+    }
+    site_.publish();
+    return "change of the configuration";
+}
+
+void fault_plan::end_all()
+{
+    auto open = std::exchange(open_, {});
+    for (auto& fault : open) {
+        fault.undo();
+    }
+    for (auto& gateway : site_.gateways()) {
+        gateway.process->send(SIGCONT);
+        // A stop that is under way ends by itself.
+        if (gateway.process->wait_ended(time_ms{0})) {
+            site_.start(gateway);
+        }
+    }
+}
+
+void fault_plan::check_calm()
+{
+    wait(seconds(9)); // longer than a stop takes
+    end_all();
+    for (auto& gateway : site_.gateways()) {
+        if (!site_.wait_ready(gateway)) {
+            violations_.push_back(gateway.name + " is not ready on a calm site");
+        }
+    }
+    wait(settling);
+    const auto version = site_.publish();
+    wait(config_bound);
+    for (auto& gateway : site_.gateways()) {
+        const auto status = caller_.probe_version(gateway.listen, version);
+        const auto old = caller_.probe_version(gateway.listen, version - 1);
+        if (status == 404 || old != 404) {
+            violations_.push_back(gateway.name + " does not obey version " +
+                                  std::to_string(version));
+        }
+    }
+    // Streams that began before a stop end whole.
+    auto& stopping = site_.gateways().front();
+    std::atomic<int> cut{0};
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 6; ++i) {
+        callers.emplace_back([&, i] {
+            const auto done = caller_.call(stopping.listen, site::site_call::chat, 1 + i % 2);
+            cut += done.status == 0 || (done.status == 200 && !done.complete) ? 1 : 0;
+        });
+    }
+    wait(ms(20));
+    stopping.process->send(SIGTERM);
+    for (auto& thread : callers) {
+        thread.join();
+    }
+    if (cut > 0) {
+        violations_.push_back("a stop cut " + std::to_string(cut) + " streams");
+    }
+}
+
+} // namespace jujubevalve::soak
--- /dev/null
+++ b/apps/soak/fault_plan.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "standins/site/site_caller.h"
+
+#include <deque>
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace jujubevalve::soak
+{
+
+/// Draws faults from a seed and applies them to a site, one after another and overlapping; each is
+/// undone after a while. Used by one thread.
+class fault_plan
+{
+public:
+    fault_plan(site::site& deployment, site::site_caller& caller, std::uint64_t seed);
+
+    /// Undoes what is due and begins the next fault. Returns its name.
+    std::string step();
+
+    /// Undoes everything and brings all processes back.
+    void end_all();
+
+    /// How long to wait before the next step.
+    [[nodiscard]] time_ms pause();
+
+    /// Checks on an otherwise calm site: a change is in force everywhere, and a stop cuts nothing.
+    void check_calm();
+
+    /// What was found wrong here.
+    [[nodiscard]] const std::vector<std::string>& violations() const { return violations_; }
+
+private:
+    struct open_fault {
+        time_ms until{};
+        std::function<void()> undo;
+    };
+
+    [[nodiscard]] int draw(int low, int high);
+    site::site_gateway& any_gateway();
+    site::site_server& any_server();
+    void later(time_ms after, std::function<void()> undo);
+    void restart(site::site_gateway& gateway);
+    std::string process_fault();
+    std::string store_fault();
+    std::string server_fault();
+    std::string operator_change();
+
+    site::site& site_;
+    site::site_caller& caller_;
+    std::minstd_rand random_;
+    std::vector<open_fault> open_;
+    std::vector<std::string> violations_;
+};
+
+} // namespace jujubevalve::soak
--- a/modules/dispatch/account_budgets.cpp
+++ b/modules/dispatch/account_budgets.cpp
@@ -20,6 +20,8 @@
 
 /// Requests that must be free of a budget for a ceiling to leave room for one without demand.
 constexpr std::int64_t plenty_requests = 150;
+/// The death of all instances strands at most this part of what is left of a budget.
+constexpr std::int64_t stranded_divisor = 16;
 
 std::string pool_row_text(const std::string& account, token_count limit)
 {
@@ -198,7 +200,9 @@
         const auto facts = book_.facts(account, 1, now);
         const bool plenty = facts.free > plenty_requests * facts.request;
         found.push_back({account, book_.spent(account) + book_.reserved(account),
-                         plenty ? facts.request : 0, facts.demand_per_ms});
+                         plenty ? facts.request : 0, facts.demand_per_ms,
+                         std::max(policy_.share_of_rest(facts) / stranded_divisor,
+                                  plenty ? facts.request : 0)});
     }
     return found;
 }
--- a/modules/dispatch/spend_ceilings.cpp
+++ b/modules/dispatch/spend_ceilings.cpp
@@ -46,7 +46,7 @@
     const auto cover = options_.offline_after + options_.interval;
     const auto demand = static_cast<token_count>(demand_margin * facts.demand_per_ms *
                                                  static_cast<double>(cover.count()));
-    return facts.total + std::max(demand, facts.spare);
+    return facts.total + std::min(std::max(demand, facts.spare), facts.most_room);
 }
 
 std::optional<ceiling_map> spend_ceilings::plan(const std::vector<spend_facts>& facts, time_ms now)
--- a/modules/dispatch/spend_ceilings.h
+++ b/modules/dispatch/spend_ceilings.h
@@ -32,6 +32,7 @@
     token_count total{0};   ///< spent and reserved
     token_count spare{0};   ///< room to leave even without demand
     double demand_per_ms{0};
+    token_count most_room{max_token_count}; ///< bounds what a death strands
 
     friend bool operator==(const spend_facts&, const spend_facts&) = default;
 };
--- a/modules/dispatch/stocked_grants.cpp
+++ b/modules/dispatch/stocked_grants.cpp
@@ -44,6 +44,13 @@
     return facts.free < std::max(facts.grantable / low_free_divisor, outage);
 }
 
+token_count stocked_grants::share_of_rest(const grant_facts& facts) const
+{
+    const auto rest = std::max<token_count>(0, facts.available) +
+                      std::max<token_count>(0, facts.free);
+    return static_cast<token_count>(share_of_demand(facts) * static_cast<double>(rest));
+}
+
 bool stocked_grants::is_short(const grant_facts& facts) const
 {
     return facts.limit > 0 && is_low(facts) &&
@@ -68,7 +75,7 @@
     const auto rest = static_cast<double>(std::max<token_count>(0, facts.available) +
                                           std::max<token_count>(0, facts.free));
     const auto stock = facts.demand_per_ms * 2 * static_cast<double>(options_.horizon.count());
-    const auto share = share_used * share_of_demand(facts) * rest;
+    const auto share = share_used * static_cast<double>(share_of_rest(facts));
     const auto floor = rest / static_cast<double>(live * options_.floor_divisor);
     const auto shortage = std::min(facts.shortage, most_shortage * facts.request);
     const auto goal = static_cast<token_count>(std::max(std::min(stock, share), floor));
--- a/modules/dispatch/stocked_grants.h
+++ b/modules/dispatch/stocked_grants.h
@@ -37,6 +37,9 @@
     /// what they do not need.
     [[nodiscard]] bool is_short(const grant_facts& facts) const;
 
+    /// The own share, by demand, of what is left of the budget as far as known.
+    [[nodiscard]] token_count share_of_rest(const grant_facts& facts) const;
+
     /// The available tokens to aim for.
     [[nodiscard]] token_count target(const grant_facts& facts) const;
 
--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -201,6 +201,7 @@
             return encode_refusal(404, describe(result_code::unknown_path).name,
                                   "no such path", std::nullopt, close);
         }
+        update_serving();
         const bool is_ready = view_.is_complete() && !stopping_;
         return simple_response(is_ready ? 200 : 503, {}, {}, close);
     }
@@ -211,6 +212,7 @@
             return encode_refusal(404, describe(result_code::unknown_path).name,
                                   "no such path", std::nullopt, close);
         }
+        update_serving();
         const auto list = view_.entry_addresses();
         if (list.empty()) {
             return encode_refusal(503, describe(result_code::not_ready).name,
--- a/tests/gateway/gateway_tests.cpp
+++ b/tests/gateway/gateway_tests.cpp
@@ -105,7 +105,14 @@
             CHECK(caller->call(address(i), kind, 1).complete);
         }
     }
-    CHECK_EQUAL(3U, caller->resolve(where->gateways()[0].directory).size());
+    // The others are known after their next beat has been read.
+    const auto deadline = steady_clock_ms{}.now() + seconds(3);
+    std::size_t known = 0;
+    while (known < 3 && steady_clock_ms{}.now() < deadline) {
+        known = caller->resolve(where->gateways()[0].directory).size();
+        wait(time_ms{50});
+    }
+    CHECK_EQUAL(3U, known);
 }
 
 // Guards against denying everyone before the first configuration is known.
@@ -163,7 +170,8 @@
 {
     begin();
     background_load load{*caller, {address(0), address(1), address(2)}, site_call::chat};
-    wait(seconds(1));
+    wait(seconds(2));
+    CHECK_EQUAL(3U, caller->resolve(where->gateways()[1].directory).size());
     CHECK_EQUAL(0, load.incomplete());
     where->gateways()[0].process->send(SIGTERM);
     wait(time_ms{1500});
