--- a/modules/budget/grant_book.h
+++ b/modules/budget/grant_book.h
@@ -119,6 +119,9 @@
     /// Brings a budget into use before its first request, so that a refill may be planned for it.
     void open(std::string_view budget, time_ms now) { at(budget, now); }
 
+    /// Delay after a first conflict; with many instances on one ledger it has to be longer.
+    void set_retry_first(time_ms delay) { timing_.retry_first = delay; }
+
     /// Sets tokens aside for a request. Refuses with `budget_exhausted` when, as far as known, the
     /// ledger has too little free, with `budget_unavailable` when the grant is empty and the
     /// platform has not been reached, with `draining` after closing began, with `stopped` after
--- a/modules/core/time_ms.h
+++ b/modules/core/time_ms.h
@@ -30,6 +30,7 @@
         return time_ms{a.count_ - b.count_};
     }
     friend constexpr time_ms operator*(time_ms a, std::int64_t n) { return time_ms{a.count_ * n}; }
+    friend constexpr time_ms operator/(time_ms a, std::int64_t n) { return time_ms{a.count_ / n}; }
 
 private:
     std::int64_t count_{0};
--- a/modules/dispatch/account_budgets.cpp
+++ b/modules/dispatch/account_budgets.cpp
@@ -15,6 +15,8 @@
 namespace
 {
 constexpr std::int64_t fleet_term = 1; ///< this deployment's fleet has no handover of terms
+/// Instances that can retry a conflict on one ledger without waiting for each other.
+constexpr std::int64_t instances_without_delay = 8;
 /// Age at which a remembered ledger is read again before a refusal.
 constexpr time_ms ledger_max_age{400};
 
@@ -164,6 +166,12 @@
     });
 }
 
+void account_budgets::set_instances(std::int64_t instances)
+{
+    book_.set_retry_first(options_.timing.retry_first *
+                          std::max<std::int64_t>(1, instances / instances_without_delay));
+}
+
 void account_budgets::committed(const grant_write& write, const commit_result& outcome,
                                 const std::vector<table_row>& current, time_ms now)
 {
--- a/modules/dispatch/account_budgets.h
+++ b/modules/dispatch/account_budgets.h
@@ -62,6 +62,9 @@
     /// The next write or read, if one is due. Answer each with committed(), or rows_read().
     [[nodiscard]] grant_step next_step(std::int64_t instances, time_ms now);
 
+    /// Fleet size, for the pause after a conflict.
+    void set_instances(std::int64_t instances);
+
     /// Outcome of a write; `current` are the present rows after a conflict.
     void committed(const grant_write& write, const commit_result& outcome,
                    const std::vector<table_row>& current, time_ms now);
--- a/modules/dispatch/spend_ceilings.cpp
+++ b/modules/dispatch/spend_ceilings.cpp
@@ -10,15 +10,23 @@
 {
 /// Room below a ceiling over what is wanted, in multiples of it, at which it is lowered.
 constexpr std::int64_t lower_at = 2;
+/// Time of the fleet for each instance's write: at most 125 a second are spent on ceilings.
+constexpr time_ms write_spacing{8};
 /// Demand in a few seconds varies around its average; requests differ in size by a factor of ten.
 constexpr double demand_margin = 1.6;
 } // namespace
 
 spend_ceilings::spend_ceilings(spend_ceilings_options options)
     : options_{options}
+    , interval_{options.interval}
 {
 }
 
+void spend_ceilings::set_instances(std::int64_t instances)
+{
+    interval_ = std::max(options_.interval, write_spacing * instances);
+}
+
 bool spend_ceilings::is_offline(time_ms now) const
 {
     return ever_sent_ && now - sent_at_ > options_.offline_after;
@@ -43,7 +51,7 @@
 
 token_count spend_ceilings::wanted(const spend_facts& facts) const
 {
-    const auto cover = options_.offline_after + options_.interval;
+    const auto cover = options_.offline_after + interval_;
     const auto demand = static_cast<token_count>(demand_margin * facts.demand_per_ms *
                                                  static_cast<double>(cover.count()));
     return facts.total + std::min(std::max(demand, facts.spare), facts.most_room);
@@ -54,13 +62,13 @@
     if (in_flight_) {
         return std::nullopt;
     }
-    bool due = !ever_sent_ || now - sent_at_ >= options_.interval || !asked_.empty();
+    bool due = !ever_sent_ || now - sent_at_ >= interval_ || !asked_.empty();
     auto next = published_;
     for (const auto& item : facts) {
         auto& ceiling = next[item.account];
         const auto goal = wanted(item);
         const auto room = goal - item.total;
-        due = due || ceiling - item.total < room / 2;
+        due = due || (ceiling - item.total < room / 2 && now - sent_at_ >= interval_ / 4);
         if (ceiling < goal || ceiling - item.total > lower_at * room) {
             ceiling = goal;
         }
--- a/modules/dispatch/spend_ceilings.h
+++ b/modules/dispatch/spend_ceilings.h
@@ -64,12 +64,16 @@
     /// Whether the ceilings no longer bind.
     [[nodiscard]] bool is_offline(time_ms now) const;
 
+    /// Fleet size: with many instances each writes less often.
+    void set_instances(std::int64_t instances);
+
     [[nodiscard]] const spend_ceilings_options& options() const { return options_; }
 
 private:
     [[nodiscard]] token_count wanted(const spend_facts& facts) const;
 
     spend_ceilings_options options_;
+    time_ms interval_;
     ceiling_map published_; ///< in force; lowered ones already when they are sent
     ceiling_map asked_; ///< totals that were refused since the last write
     bool in_flight_{false};
--- a/modules/dispatch/stocked_grants.cpp
+++ b/modules/dispatch/stocked_grants.cpp
@@ -15,6 +15,8 @@
 constexpr double share_used = 0.8;
 /// Least stock that is returned when little is left, as a part of a request.
 constexpr std::int64_t least_return_divisor = 8;
+/// Least stock without demand, as a part of the budget.
+constexpr std::int64_t least_floor_divisor = 400;
 /// Refused requests that one refill makes up for, in multiples of the largest.
 constexpr std::int64_t most_shortage = 4;
 } // namespace
@@ -79,6 +81,9 @@
     const auto floor = rest / static_cast<double>(live * options_.floor_divisor);
     const auto shortage = std::min(facts.shortage, most_shortage * facts.request);
     const auto goal = static_cast<token_count>(std::max(std::min(stock, share), floor));
+    if (facts.demand_per_ms <= 0 && shortage == 0 && goal < facts.limit / least_floor_divisor) {
+        return 0; // too small a part of the budget to serve a request
+    }
     return std::max({goal, facts.request, shortage});
 }
 
--- a/modules/gateway/call.cpp
+++ b/modules/gateway/call.cpp
@@ -25,6 +25,8 @@
 constexpr int stall_in_gaps = 6;
 /// Longest wait for tokens from the store; a few conditional writes.
 constexpr time_ms grant_wait{400};
+/// A wait for tokens may take this part of the objective.
+constexpr std::int64_t waits_in_objective = 6;
 /// Least time that must be left for another attempt.
 constexpr time_ms least_attempt{30};
 /// A request that must not run twice is not sent on a connection that was idle for longer, as the
@@ -154,7 +156,8 @@
 
 void call::reserve_tokens()
 {
-    const auto wait = std::min(grant_wait, time_left());
+    const auto wait =
+        std::min({grant_wait, time_left(), time_ms{route_->objective.count() / waits_in_objective}});
     grant_waiter_ = context_.grants.reserve(
         account_, request_.generation->most(), wait, [this](const reserve_outcome& outcome) {
             grant_waiter_ = 0;
--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -117,7 +117,8 @@
         , grants_{loop_,          store_,
                   log_,           metrics_,
                   settings_.instance, incarnation_,
-                  settings_.listen,   budget_options(settings_)}
+                  settings_.listen,   budget_options(settings_),
+                  settings_.store_writes_per_s}
         , connections_{loop_}
         , choice_{choice_options(settings_), hash64(incarnation_)}
         , context_{loop_,  settings_,    log_,    metrics_,
--- a/modules/gateway/gateway_settings.cpp
+++ b/modules/gateway/gateway_settings.cpp
@@ -19,6 +19,8 @@
 DEFINE_double(retry_ratio, 0.2, "repeats for each request of a service, whole fleet, 0 to 10");
 DEFINE_int64(retry_window_ms, 10000, "window of the bound on repeats, 1000 to 600000 ms");
 DEFINE_int64(retry_slack, 10, "repeats in a window beyond the ratio, whole fleet, 0 to 100000");
+DEFINE_double(store_writes_per_s, 800,
+              "writes a second that the store takes from the whole fleet, 1 to 1000000");
 DEFINE_int64(grant_horizon_ms, 10000,
              "demand that a grant covers at least, so that an outage of the store of that length "
              "refuses nobody; twice this is kept at most, 100 to 600000 ms");
@@ -47,6 +49,10 @@
     check.range("retry_window_ms", FLAGS_retry_window_ms, 1000, 600'000);
     check.range("retry_slack", FLAGS_retry_slack, 0, 100'000);
     check.range("grant_horizon_ms", FLAGS_grant_horizon_ms, 100, 600'000);
+    if (FLAGS_store_writes_per_s < 1 || FLAGS_store_writes_per_s > 1'000'000) {
+        check.fail("store_writes_per_s", std::to_string(FLAGS_store_writes_per_s),
+                   "a number from 1 to 1000000");
+    }
     if (FLAGS_retry_ratio < 0 || FLAGS_retry_ratio > 10) {
         check.fail("retry_ratio", std::to_string(FLAGS_retry_ratio), "a number from 0 to 10");
     }
@@ -67,6 +73,7 @@
     settings.stop_limit = time_ms{FLAGS_stop_limit_ms};
     settings.drain_time = time_ms{FLAGS_drain_time_ms};
     settings.retry_limit = {FLAGS_retry_ratio, time_ms{FLAGS_retry_window_ms}, FLAGS_retry_slack};
+    settings.store_writes_per_s = FLAGS_store_writes_per_s;
     settings.grant_horizon = time_ms{FLAGS_grant_horizon_ms};
     return settings;
 }
--- a/modules/gateway/grant_service.cpp
+++ b/modules/gateway/grant_service.cpp
@@ -1,5 +1,7 @@
 #include "gateway/grant_service.h"
 
+#include "core/digest.h"
+
 #include <utility>
 
 namespace jujubevalve
@@ -9,6 +11,8 @@
 {
 /// Writes and reads under way at a time, each for one account.
 constexpr int most_in_flight = 16;
+/// Part of the store's writes that goes into grants; the rest is left for beats and ceilings.
+constexpr double used_part = 0.5;
 /// Pause before the next look while requests wait for tokens.
 constexpr time_ms waiting_pause{8};
 
@@ -31,7 +35,7 @@
 grant_service::grant_service(event_loop& loop, store_client& store, decision_log& log,
                              gateway_metrics& metrics, std::string instance,
                              std::string incarnation, std::string address,
-                             account_budget_options options)
+                             account_budget_options options, double fleet_writes_per_s)
     : loop_{loop}
     , store_{store}
     , log_{log}
@@ -40,6 +44,8 @@
     , incarnation_{std::move(incarnation)}
     , address_{std::move(address)}
     , budgets_{incarnation_, options}
+    , pacer_{fleet_writes_per_s * used_part}
+    , random_{static_cast<std::minstd_rand::result_type>(hash64(incarnation_))}
 {
 }
 
@@ -122,8 +128,12 @@
     publish_ceilings();
     // Before planning: what has just been granted for them must not be returned.
     serve_waiters(false);
-    while (in_flight_ < most_in_flight) {
+    while (in_flight_ < most_in_flight && store_reachable_ &&
+           pacer_.may_call(loop_.now())) {
         auto step = budgets_.next_step(instances_, loop_.now());
+        if (step.write || step.read_ledger) {
+            pacer_.called();
+        }
         if (step.write) {
             send(std::move(*step.write));
         } else if (step.read_ledger) {
@@ -199,8 +209,11 @@
 void grant_service::reclaim(const spend_row& dead, bool was_bound, int attempt,
                             const std::vector<table_row>& rows)
 {
-    constexpr int most_attempts = 60;
-    constexpr time_ms pause{10};
+    constexpr int most_attempts = 100;
+    // Spread, as the successors of a whole fleet change the same ledgers.
+    constexpr time_ms least_pause{5};
+    std::uniform_int_distribution<std::int64_t> spread{0, least_pause.count() * instances_};
+    const auto pause = least_pause + time_ms{spread(random_)};
     if (attempt >= most_attempts) {
         log_.write("reclaim_given_up", log_fields{}.add("incarnation", dead.incarnation),
                    loop_.now());
@@ -262,8 +275,12 @@
                 .add("took_ms", now - sent_at);
             log_.write("grant", fields, now);
         }
-        if (done.outcome.outcome == commit_outcome::conflict) {
+        if (done.outcome.outcome == commit_outcome::committed ||
+            done.outcome.outcome == commit_outcome::conflict) {
+            pacer_.answered();
             schedule_run(waiting_pause);
+        } else {
+            pacer_.refused(now);
         }
         run();
     });
@@ -312,6 +329,14 @@
     }
 }
 
+void grant_service::set_instances(std::int64_t instances)
+{
+    instances_ = instances;
+    budgets_.set_instances(instances);
+    budgets_.ceilings().set_instances(instances);
+    pacer_.set_instances(instances);
+}
+
 void grant_service::begin_close()
 {
     budgets_.begin_close();
--- a/modules/gateway/grant_service.h
+++ b/modules/gateway/grant_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/account_budgets.h"
+#include "dispatch/call_pacer.h"
 #include "dispatch/spend_row.h"
 #include "gateway/decision_log.h"
 #include "gateway/gateway_metrics.h"
@@ -10,6 +11,7 @@
 #include <functional>
 #include <list>
 #include <map>
+#include <random>
 #include <string>
 
 namespace jujubevalve
@@ -25,7 +27,7 @@
     /// `address` is the one that callers use; only one process at a time can serve it.
     grant_service(event_loop& loop, store_client& store, decision_log& log,
                   gateway_metrics& metrics, std::string instance, std::string incarnation,
-                  std::string address, account_budget_options options);
+                  std::string address, account_budget_options options, double fleet_writes_per_s);
 
     /// Closes the grants of earlier incarnations of this instance.
     void recover();
@@ -73,7 +75,7 @@
     }
 
     /// Fleet size, for the division of what is left.
-    void set_instances(std::int64_t instances) { instances_ = instances; }
+    void set_instances(std::int64_t instances);
 
     /// Plans and sends what is due. Call it often; it is also run after each reservation.
     void run();
@@ -113,6 +115,8 @@
     std::string incarnation_;
     std::string address_;
     account_budgets budgets_;
+    call_pacer pacer_;
+    std::minstd_rand random_;
     std::list<waiter> waiters_;
     std::uint64_t last_waiter_{0};
     std::int64_t instances_{1};
