--- a/apps/soak/fault_plan.cpp
+++ b/apps/soak/fault_plan.cpp
@@ -268,8 +268,10 @@
     // Streams that began before a stop end whole.
     auto& stopping = site_.gateways().front();
     std::atomic<int> cut{0};
+    constexpr int streams = 6;
     std::vector<std::thread> callers;
-    for (int i = 0; i < 6; ++i) {
+    callers.reserve(streams);
+    for (int i = 0; i < streams; ++i) {
         callers.emplace_back([&, i] {
             const auto done = caller_.call(stopping.listen, site::site_call::chat, 1 + i % 2);
             cut += done.status == 0 || (done.status == 200 && !done.complete) ? 1 : 0;
--- a/apps/soak/main.cpp
+++ b/apps/soak/main.cpp
@@ -16,7 +16,8 @@
 DEFINE_int64(gateways, 3, "gateway processes, 1 to 60");
 DEFINE_int64(callers, 6, "threads that send requests, 1 to 64");
 DEFINE_int64(prepaid, 150000, "tokens of each account at the start, 0 to 1000000000");
-DEFINE_string(logs, "", "folder for the gateways' logs; empty: a new one below the temporary folder");
+DEFINE_string(logs, "",
+              "folder for the gateways' logs; empty: a new one below the temporary folder");
 DEFINE_bool(verbose, false, "print each fault");
 
 using namespace jujubevalve;
@@ -29,11 +30,10 @@
     made.gateways = static_cast<int>(FLAGS_gateways);
     made.seed = static_cast<std::uint64_t>(FLAGS_seed);
     made.prepaid = FLAGS_prepaid;
-    made.log_folder = FLAGS_logs.empty()
-                          ? (std::filesystem::temp_directory_path() /
-                             ("jujubevalve-soak-" + std::to_string(FLAGS_seed)))
-                                .string()
-                          : FLAGS_logs;
+    made.log_folder = FLAGS_logs.empty() ? (std::filesystem::temp_directory_path() /
+                                            ("jujubevalve-soak-" + std::to_string(FLAGS_seed)))
+                                               .string()
+                                         : FLAGS_logs;
     std::filesystem::remove_all(made.log_folder);
     std::filesystem::create_directories(made.log_folder);
     return made;
@@ -87,8 +87,9 @@
 
 int main(int argc, char** argv)
 {
-    read_settings("jujubevalve-soak: runs gateways on loopback under faults and checks every answer",
-                  argc, argv);
+    read_settings(
+        "jujubevalve-soak: runs gateways on loopback under faults and checks every answer", argc,
+        argv);
     settings_check check;
     check.range("seed", FLAGS_seed, 1, 1'000'000'000);
     check.range("seconds", FLAGS_seconds, 1, 3600);
@@ -105,6 +106,7 @@
         }
         std::atomic<bool> stop{false};
         std::vector<std::thread> callers;
+        callers.reserve(static_cast<std::size_t>(FLAGS_callers));
         for (int i = 0; i < FLAGS_callers; ++i) {
             callers.emplace_back([&, i] {
                 send_calls(deployment, caller, static_cast<std::uint64_t>(FLAGS_seed * 100 + i),
--- a/modules/budget/grant_book.h
+++ b/modules/budget/grant_book.h
@@ -312,7 +312,8 @@
                 continue;
             }
             const bool idle = is_idle(item, now) && item.available() > 0;
-            if (!must_look(item, now) && !idle && !wants(facts_of(name, item, live_instances, now))) {
+            if (!must_look(item, now) && !idle &&
+                !wants(facts_of(name, item, live_instances, now))) {
                 continue;
             }
             batch.budgets.push_back(name);
--- a/modules/dispatch/account_budgets.cpp
+++ b/modules/dispatch/account_budgets.cpp
@@ -27,8 +27,7 @@
 
 std::string pool_row_text(const std::string& account, token_count limit)
 {
-    return nlohmann::json{
-        {"budget", account}, {"limit_tokens", limit}, {"safety_margin_tokens", 0}}
+    return nlohmann::json{{"budget", account}, {"limit_tokens", limit}, {"safety_margin_tokens", 0}}
         .dump();
 }
 } // namespace
@@ -140,10 +139,10 @@
     self.instance = book_.incarnation();
     self.incarnation = book_.incarnation();
     self.term = fleet_term;
-    std::vector<table_row> rows{
-        {std::string{term_key}, nlohmann::json{{"term", fleet_term}, {"operator", "fleet"}}.dump(),
-         1},
-        {instance_key(book_.incarnation()), to_text(self), 1}};
+    std::vector<table_row> rows{{std::string{term_key},
+                                 nlohmann::json{{"term", fleet_term}, {"operator", "fleet"}}.dump(),
+                                 1},
+                                {instance_key(book_.incarnation()), to_text(self), 1}};
     for (const auto& account : batch.budgets) {
         const auto limit = limits_.find(account);
         if (limit != limits_.end()) {
@@ -225,8 +224,8 @@
         }
     }
     const auto kept = std::min(most, found.size());
-    std::partial_sort(found.begin(), found.begin() + static_cast<std::ptrdiff_t>(kept),
-                      found.end(), std::greater<>{});
+    std::partial_sort(found.begin(), found.begin() + static_cast<std::ptrdiff_t>(kept), found.end(),
+                      std::greater<>{});
     account_demand demand;
     for (std::size_t i = 0; i < kept; ++i) {
         demand.emplace(found[i].second, found[i].first);
--- a/modules/dispatch/call_pacer.cpp
+++ b/modules/dispatch/call_pacer.cpp
@@ -50,8 +50,7 @@
 void call_pacer::refused(time_ms now)
 {
     const auto doublings = std::min<std::int64_t>(refusals_++, 6);
-    paused_until_ =
-        now + std::min(first_pause * (std::int64_t{1} << doublings), longest_pause);
+    paused_until_ = now + std::min(first_pause * (std::int64_t{1} << doublings), longest_pause);
 }
 
 void call_pacer::answered()
--- a/modules/dispatch/call_request.h
+++ b/modules/dispatch/call_request.h
@@ -53,8 +53,8 @@
 /// What the fields of a server's response say.
 struct server_response {
     int status{0};
-    bool refused{false}; ///< the server states that it has not run the request
-    bool encoded{false}; ///< the body has a content coding, so it is not the server's own
+    bool refused{false};   ///< the server states that it has not run the request
+    bool encoded{false};   ///< the body has a content coding, so it is not the server's own
     bool is_signed{false}; ///< carries the server's signature, as every answer of its own does
     bool is_event_stream{false};
     std::optional<std::string> request_id; ///< of the request that it answers
--- a/modules/dispatch/entry_list.cpp
+++ b/modules/dispatch/entry_list.cpp
@@ -26,8 +26,8 @@
         return;
     }
     auto& item = records_[beat.instance];
-    const bool is_new = item.beat.incarnation != beat.incarnation || item.beat.number < beat.number ||
-                        item.beat.serving != beat.serving;
+    const bool is_new = item.beat.incarnation != beat.incarnation ||
+                        item.beat.number < beat.number || item.beat.serving != beat.serving;
     if (is_new) {
         item = {beat, now};
     }
@@ -87,9 +87,8 @@
             serving.push_back(&item.beat);
         }
     }
-    std::stable_sort(serving.begin(), serving.end(), [](const auto* a, const auto* b) {
-        return a->capacity > b->capacity;
-    });
+    std::stable_sort(serving.begin(), serving.end(),
+                     [](const auto* a, const auto* b) { return a->capacity > b->capacity; });
     auto count = enough(serving);
     const auto least = count == 0 ? 0 : serving[count - 1]->capacity / similar_capacity;
     while (count < serving.size() && serving[count]->capacity >= least) {
--- a/modules/dispatch/entry_list.h
+++ b/modules/dispatch/entry_list.h
@@ -18,11 +18,11 @@
     std::string incarnation;
     std::string address; ///< where callers connect, ip:port
     std::string failure_domain;
-    std::int64_t number{0}; ///< of the beat, from 1 in each incarnation
-    bool serving{false};    ///< takes new callers
-    std::int64_t capacity{0};      ///< requests per second that its machine can carry
-    std::int64_t request_rate{0};  ///< requests per second that it gets
-    account_demand demand;  ///< tokens per second that its callers ask for
+    std::int64_t number{0};            ///< of the beat, from 1 in each incarnation
+    bool serving{false};               ///< takes new callers
+    std::int64_t capacity{0};          ///< requests per second that its machine can carry
+    std::int64_t request_rate{0};      ///< requests per second that it gets
+    account_demand demand;             ///< tokens per second that its callers ask for
     std::vector<std::string> short_of; ///< accounts of which it lacks tokens
 
     friend bool operator==(const instance_beat&, const instance_beat&) = default;
--- a/modules/dispatch/fleet_config.h
+++ b/modules/dispatch/fleet_config.h
@@ -40,7 +40,7 @@
     time_ms objective{}; ///< time to the answer, of a stream to its first event
     int priority{0};     ///< 0 is the most urgent
     std::vector<weighted_service> services;
-    int max_attempts{1};  ///< servers that one call may be sent to
+    int max_attempts{1};   ///< servers that one call may be sent to
     bool is_public{false}; ///< needs no key
     bool resumable{false}; ///< a stream that may go on at another server
     time_ms event_gap{};   ///< longest pause between events that is still on time
@@ -86,7 +86,7 @@
 struct client_account {
     std::string name;
     std::vector<std::string> keys;
-    std::optional<int> priority;         ///< goes before the route's
+    std::optional<int> priority;        ///< goes before the route's
     std::optional<token_count> prepaid; ///< tokens it may consume; no limit if absent
 
     friend bool operator==(const client_account&, const client_account&) = default;
@@ -108,6 +108,7 @@
 {
 public:
     explicit fleet_config(fleet_config_content content);
+    ~fleet_config() = default;
     fleet_config(const fleet_config&) = delete;
     fleet_config& operator=(const fleet_config&) = delete;
 
--- a/modules/dispatch/fleet_retry_budget.cpp
+++ b/modules/dispatch/fleet_retry_budget.cpp
@@ -33,10 +33,9 @@
 {
     drop_before(requests_, now - limit_.window);
     drop_before(repeats_, now - limit_.window);
-    const auto slack = static_cast<double>(limit_.slack) /
-                       static_cast<double>(instances_ + spare_instances);
-    const auto allowed =
-        used_part * (limit_.ratio * static_cast<double>(requests_.size()) + slack);
+    const auto slack =
+        static_cast<double>(limit_.slack) / static_cast<double>(instances_ + spare_instances);
+    const auto allowed = used_part * (limit_.ratio * static_cast<double>(requests_.size()) + slack);
     if (static_cast<double>(repeats_.size()) + 1 > allowed) {
         return false;
     }
--- a/modules/dispatch/fleet_retry_budget.h
+++ b/modules/dispatch/fleet_retry_budget.h
@@ -10,9 +10,9 @@
 
 /// The bound that all instances of the fleet keep together for one service.
 struct fleet_retry_limit {
-    double ratio{0.2};       ///< repeats for each request
-    time_ms window{10'000};  ///< any span of this length counts
-    std::int64_t slack{0};   ///< further repeats in a window, of the whole fleet
+    double ratio{0.2};      ///< repeats for each request
+    time_ms window{10'000}; ///< any span of this length counts
+    std::int64_t slack{0};  ///< further repeats in a window, of the whole fleet
 
     friend bool operator==(const fleet_retry_limit&, const fleet_retry_limit&) = default;
 };
--- a/modules/dispatch/server_choice.cpp
+++ b/modules/dispatch/server_choice.cpp
@@ -80,9 +80,9 @@
         } else {
             cost = generation_cost(*server, *generation, now);
             const bool is_home = server == home[0] || server == home[1];
-            const auto fresh = static_cast<double>(generation->parts.empty()
-                                                       ? generation->prompt_tokens
-                                                       : generation->parts.back().tokens);
+            const auto fresh =
+                static_cast<double>(generation->parts.empty() ? generation->prompt_tokens
+                                                              : generation->parts.back().tokens);
             if (is_home) {
                 cost = std::min(cost, generation_cost(*server, {}, now) +
                                           fresh / options_.read_tokens_per_ms);
--- a/modules/dispatch/server_choice.h
+++ b/modules/dispatch/server_choice.h
@@ -15,12 +15,12 @@
 
 /// Settings of a server_choice.
 struct server_choice_options {
-    std::string failure_domain;        ///< of this instance
-    double read_tokens_per_ms{45};     ///< prompt tokens that an engine reads in a millisecond
-    double running_cost_ms{3};         ///< delay that each running request adds to a new one
-    double other_domain_cost_ms{6};    ///< preference for the own failure domain
-    time_ms report_life{1500};         ///< time in which a load report loses its weight
-    time_ms cache_life{20'000};        ///< a prompt part unused for this long counts as evicted
+    std::string failure_domain;         ///< of this instance
+    double read_tokens_per_ms{45};      ///< prompt tokens that an engine reads in a millisecond
+    double running_cost_ms{3};          ///< delay that each running request adds to a new one
+    double other_domain_cost_ms{6};     ///< preference for the own failure domain
+    time_ms report_life{1500};          ///< time in which a load report loses its weight
+    time_ms cache_life{20'000};         ///< a prompt part unused for this long counts as evicted
     std::size_t remembered_parts{4096}; ///< prompt parts whose servers are remembered
 };
 
--- a/modules/dispatch/server_directory.h
+++ b/modules/dispatch/server_directory.h
@@ -34,11 +34,11 @@
     time_ms report_at{};
     time_ms heard_at{}; ///< when the last byte came from it
     std::int64_t sent_since_report{0};
-    int failures{0};        ///< consecutive unreachable verdicts
-    int errors{0};          ///< consecutive bad answers
-    time_ms avoid_until{};  ///< takes requests only if no other server can
+    int failures{0};         ///< consecutive unreachable verdicts
+    int errors{0};           ///< consecutive bad answers
+    time_ms avoid_until{};   ///< takes requests only if no other server can
     time_ms refused_until{}; ///< stated a moment ago that it is full
-    time_ms latency{};      ///< moving average of good answers to plain calls
+    time_ms latency{};       ///< moving average of good answers to plain calls
 };
 
 /// The servers of all services as registered, with what the process has learned of them. An entry
--- a/modules/dispatch/spend_ceilings.h
+++ b/modules/dispatch/spend_ceilings.h
@@ -16,7 +16,6 @@
 /// The most that an incarnation may have spent, by account.
 using ceiling_map = std::map<std::string, token_count, std::less<>>;
 
-
 /// Settings of spend_ceilings.
 struct spend_ceilings_options {
     /// After this time without a write the ceilings no longer bind, so that callers are served in
@@ -29,8 +28,8 @@
 /// Present spend and demand of one account.
 struct spend_facts {
     std::string account;
-    token_count total{0};   ///< spent and reserved
-    token_count spare{0};   ///< room to leave even without demand
+    token_count total{0}; ///< spent and reserved
+    token_count spare{0}; ///< room to leave even without demand
     double demand_per_ms{0};
     token_count most_room{max_token_count}; ///< bounds what a death strands
 
@@ -75,11 +74,10 @@
     spend_ceilings_options options_;
     time_ms interval_;
     ceiling_map published_; ///< in force; lowered ones already when they are sent
-    ceiling_map asked_; ///< totals that were refused since the last write
+    ceiling_map asked_;     ///< totals that were refused since the last write
     bool in_flight_{false};
     bool ever_sent_{false};
     time_ms sent_at_{};
 };
 
-
 } // namespace jujubevalve
--- a/modules/dispatch/stocked_grants.cpp
+++ b/modules/dispatch/stocked_grants.cpp
@@ -48,8 +48,8 @@
 
 token_count stocked_grants::share_of_rest(const grant_facts& facts) const
 {
-    const auto rest = std::max<token_count>(0, facts.available) +
-                      std::max<token_count>(0, facts.free);
+    const auto rest =
+        std::max<token_count>(0, facts.available) + std::max<token_count>(0, facts.free);
     return static_cast<token_count>(share_of_demand(facts) * static_cast<double>(rest));
 }
 
@@ -63,8 +63,8 @@
 bool stocked_grants::is_scarce(const grant_facts& facts)
 {
     const auto live = std::max<std::int64_t>(1, facts.live_instances);
-    const auto rest = std::max<token_count>(0, facts.available) +
-                      std::max<token_count>(0, facts.free);
+    const auto rest =
+        std::max<token_count>(0, facts.available) + std::max<token_count>(0, facts.free);
     return rest < live * facts.request;
 }
 
--- a/modules/dispatch/stocked_grants.h
+++ b/modules/dispatch/stocked_grants.h
@@ -13,7 +13,7 @@
 
 /// Settings of stocked_grants.
 struct stocked_grants_options {
-    time_ms horizon{10'000};       ///< an outage of the store that must refuse nobody
+    time_ms horizon{10'000};        ///< an outage of the store that must refuse nobody
     std::int64_t floor_divisor{16}; ///< all instances together stock this part of what is free
 };
 
--- a/modules/dispatch/tests/account_budgets_tests.cpp
+++ b/modules/dispatch/tests/account_budgets_tests.cpp
@@ -72,7 +72,7 @@
         return made;
     }
 
-    void publish(account_budgets& budgets, bool reachable)
+    void publish(account_budgets & budgets, bool reachable)
     {
         if (!reachable) {
             return;
@@ -84,7 +84,7 @@
     }
 
     /// Carries out every step that is due. With `lose_answers` writes apply and go unanswered.
-    void settle_steps(account_budgets& budgets, bool reachable = true, bool lose_answers = false)
+    void settle_steps(account_budgets & budgets, bool reachable = true, bool lose_answers = false)
     {
         publish(budgets, reachable && !lose_answers);
         for (int i = 0; i < 20; ++i) {
@@ -109,7 +109,7 @@
     }
 
     /// Spends in requests of the size until they are refused for a while; returns the sum.
-    token_count spend_all(account_budgets& budgets, token_count size, int tries = 400)
+    token_count spend_all(account_budgets & budgets, token_count size, int tries = 400)
     {
         token_count spent = 0;
         for (int i = 0; i < tries; ++i) {
--- a/modules/dispatch/tests/dispatch_tests.cpp
+++ b/modules/dispatch/tests/dispatch_tests.cpp
@@ -24,18 +24,16 @@
 }
 } // namespace
 
-TEST_GROUP(fleet_config)
-{
-    static call_route route(const std::string& name, const std::string& prefix)
-    {
-        call_route made;
-        made.name = name;
-        made.host = "host.example";
-        made.prefix = prefix;
-        made.services = {{"models", 1}};
-        return made;
-    }
-};
+TEST_GROUP(fleet_config){
+    static call_route route(const std::string& name, const std::string& prefix){call_route made;
+made.name = name;
+made.host = "host.example";
+made.prefix = prefix;
+made.services = {{"models", 1}};
+return made;
+}
+}
+;
 
 TEST(fleet_config, takes_the_longest_prefix_of_the_host)
 {
@@ -67,8 +65,14 @@
     server_directory servers;
     time_ms now{100'000};
 
-    void setup() override { servers.replace_all({entry("s1"), entry("s2")}, now); }
-    [[nodiscard]] std::size_t usable() { return servers.candidates("models").size(); }
+    void setup() override
+    {
+        servers.replace_all({entry("s1"), entry("s2")}, now);
+    }
+    [[nodiscard]] std::size_t usable()
+    {
+        return servers.candidates("models").size();
+    }
 };
 
 TEST(server_directory, drops_a_removed_entry_at_once_while_the_registry_is_reachable)
@@ -150,7 +154,7 @@
         }
         servers.replace_all(entries, now);
     }
-    std::string pick(server_choice& by, const generation_request* generation,
+    std::string pick(server_choice & by, const generation_request* generation,
                      const std::vector<std::string>& tried = {})
     {
         const auto* const server = by.choose(servers.candidates("models"), generation, tried, now);
@@ -183,9 +187,8 @@
         servers.started(server, 2700);
     }
     CHECK(sent.size() >= 3);
-    const auto most = std::max_element(sent.begin(), sent.end(), [](const auto& a, const auto& b) {
-        return a.second < b.second;
-    });
+    const auto most = std::max_element(
+        sent.begin(), sent.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
     CHECK(most->second <= 30);
 }
 
@@ -210,25 +213,23 @@
     CHECK_FALSE(pick(choice, nullptr).empty());
 }
 
-TEST_GROUP(fleet_retry_budget)
-{
-    static int taken(int instances, int requests_each)
-    {
-        const fleet_retry_limit limit{0.2, seconds(10), 56};
-        int all = 0;
-        for (int i = 0; i < instances; ++i) {
-            fleet_retry_budget budget{limit};
-            budget.set_instances(instances);
-            for (int n = 0; n < requests_each; ++n) {
-                budget.add_request(time_ms{1000});
-            }
-            while (budget.take(time_ms{1000})) {
-                ++all;
-            }
-        }
-        return all;
+TEST_GROUP(fleet_retry_budget){static int taken(int instances, int requests_each){
+    const fleet_retry_limit limit{0.2, seconds(10), 56};
+int all = 0;
+for (int i = 0; i < instances; ++i) {
+    fleet_retry_budget budget{limit};
+    budget.set_instances(instances);
+    for (int n = 0; n < requests_each; ++n) {
+        budget.add_request(time_ms{1000});
     }
-};
+    while (budget.take(time_ms{1000})) {
+        ++all;
+    }
+}
+return all;
+}
+}
+;
 
 // Guards against the fleet exceeding the bound when every server of a service fails.
 TEST(fleet_retry_budget, the_fleet_stays_within_the_bound)
--- a/modules/gateway/call.cpp
+++ b/modules/gateway/call.cpp
@@ -102,8 +102,8 @@
     if (!authorise()) {
         return;
     }
-    deadline_ = received_at_ + std::min(request_.time_limit.value_or(route_->timeout),
-                                        route_->timeout);
+    deadline_ =
+        received_at_ + std::min(request_.time_limit.value_or(route_->timeout), route_->timeout);
     deadline_timer_ = context_.loop.schedule(time_left(), [this] {
         deadline_timer_ = 0;
         deadline_passed();
@@ -157,8 +157,8 @@
 
 void call::reserve_tokens()
 {
-    const auto wait =
-        std::min({grant_wait, time_left(), time_ms{route_->objective.count() / waits_in_objective}});
+    const auto wait = std::min(
+        {grant_wait, time_left(), time_ms{route_->objective.count() / waits_in_objective}});
     grant_waiter_ = context_.grants.reserve(
         account_, request_.generation->most(), wait, [this](const reserve_outcome& outcome) {
             grant_waiter_ = 0;
@@ -222,11 +222,10 @@
     response_body_.clear();
     events_.clear();
     if (!connection_->is_connected()) {
-        attempt_timer_ =
-            context_.loop.schedule(std::min(connect_limit, time_left()), [this] {
-                attempt_timer_ = 0;
-                connect_timed_out();
-            });
+        attempt_timer_ = context_.loop.schedule(std::min(connect_limit, time_left()), [this] {
+            attempt_timer_ = 0;
+            connect_timed_out();
+        });
     } else {
         watch_answer();
     }
@@ -259,9 +258,8 @@
 {
     // A prompt may wait behind others at a busy server; then its place in the queue is worth more
     // than a new start elsewhere.
-    const bool may_be_queued =
-        route_->kind == call_kind::stream &&
-        !context_.view.servers().is_silent_since(server_id_, sent_at_);
+    const bool may_be_queued = route_->kind == call_kind::stream &&
+                               !context_.view.servers().is_silent_since(server_id_, sent_at_);
     if (may_be_queued || !may_send_again(true)) {
         return;
     }
@@ -289,8 +287,8 @@
     if (response_.load) {
         context_.view.servers().reported(server_id_, *response_.load, context_.loop.now());
     }
-    in_stream_ = is_success(response_.status) && response_.is_event_stream &&
-                 response_.is_signed && !response_.encoded;
+    in_stream_ = is_success(response_.status) && response_.is_event_stream && response_.is_signed &&
+                 !response_.encoded;
     if (in_stream_) {
         state_ = run_state::ran;
         context_.loop.cancel(std::exchange(attempt_timer_, 0));
@@ -576,10 +574,10 @@
     }
     // The connection may be the one whose call is on the stack.
     auto* const connection = connection_.release();
-    context_.loop.defer([&connections = context_.connections, connection,
-                         address = server_address_] {
-        connections.give_back(address, std::unique_ptr<http_exchange>{connection});
-    });
+    context_.loop.defer(
+        [&connections = context_.connections, connection, address = server_address_] {
+            connections.give_back(address, std::unique_ptr<http_exchange>{connection});
+        });
 }
 
 void call::deadline_passed()
@@ -591,13 +589,14 @@
         return;
     }
     const bool was_connected = connection_ && connection_->is_connected();
-    const bool unsent = state_ == run_state::not_run ||
-                        (state_ == run_state::sent && !was_connected);
+    const bool unsent =
+        state_ == run_state::not_run || (state_ == run_state::sent && !was_connected);
     leave_server(unsent ? server_verdict::neutral : server_verdict::unreachable);
     if (unsent) {
         state_ = run_state::not_run;
-        refuse(result_code::request_timeout, 503, "the time limit has passed before a server "
-                                                  "could be reached");
+        refuse(result_code::request_timeout, 503,
+               "the time limit has passed before a server "
+               "could be reached");
     } else {
         closing_ = caller_.must_close() || !head_.keep_alive;
         state_ = run_state::ran;
@@ -626,8 +625,8 @@
         return;
     }
     closing_ = caller_.must_close() || !head_.keep_alive;
-    caller_.send(encode_refusal(502, describe(result_code::backend_lost).name, why, std::nullopt,
-                                closing_));
+    caller_.send(
+        encode_refusal(502, describe(result_code::backend_lost).name, why, std::nullopt, closing_));
     caller_.finish(closing_);
     end(why, 502);
 }
@@ -692,8 +691,8 @@
         context_.grants.settle_in_full(id);
         return;
     }
-    const auto delivered = std::min(generation.max_output_tokens,
-                                    events_sent_ * service->engine->tokens_per_event);
+    const auto delivered =
+        std::min(generation.max_output_tokens, events_sent_ * service->engine->tokens_per_event);
     context_.grants.settle(id, generation.prompt_tokens + delivered);
 }
 
--- a/modules/gateway/call.h
+++ b/modules/gateway/call.h
@@ -22,6 +22,8 @@
 public:
     call(call_context& context, caller_port& caller, http_head head, std::string body);
     ~call() override;
+    call(const call&) = delete;
+    call& operator=(const call&) = delete;
 
     /// Begins. The answer goes to the caller, possibly before this returns.
     void start();
@@ -92,7 +94,7 @@
     std::uint64_t grant_waiter_{0};
 
     run_state state_{run_state::not_run};
-    int attempts_{0};        ///< servers that the request was sent to
+    int attempts_{0}; ///< servers that the request was sent to
     int connect_failures_{0};
     std::vector<std::string> tried_;
     std::string server_id_; ///< of the present attempt; empty if there is none
--- a/modules/gateway/call_context.h
+++ b/modules/gateway/call_context.h
@@ -29,7 +29,7 @@
     server_choice& choice;
     std::minstd_rand random;
     std::map<std::string, fleet_retry_budget, std::less<>> retry_budgets; ///< by service
-    std::int64_t calls{0}; ///< that have arrived
+    std::int64_t calls{0};                                                ///< that have arrived
 
     /// The budget of repeats for a service.
     fleet_retry_budget& retries_of(const std::string& service)
--- a/modules/gateway/fleet_view.cpp
+++ b/modules/gateway/fleet_view.cpp
@@ -39,15 +39,21 @@
     , log_{log}
     , metrics_{metrics}
     , entries_{settings.instance, entry_list_options{}}
-    , config_rows_{loop, store, follow(wire::operator_table, feed_wait, time_ms{0}),
+    , config_rows_{loop,
+                   store,
+                   follow(wire::operator_table, feed_wait, time_ms{0}),
                    {[this](const auto& rows) { take_config(rows); },
                     [this](const auto& rows) { take_config(rows); },
                     [this](bool reachable) { note_reached(reachable); }}}
-    , server_rows_{loop, store, follow(wire::server_table, feed_wait, time_ms{0}),
+    , server_rows_{loop,
+                   store,
+                   follow(wire::server_table, feed_wait, time_ms{0}),
                    {[this](const auto& rows) { list_servers(rows); },
                     [this](const auto& rows) { change_servers(rows); },
                     [this](bool reachable) { note_reached(reachable); }}}
-    , beat_rows_{loop, store, follow(beat_table, time_ms{1}, beat_reading_pause),
+    , beat_rows_{loop,
+                 store,
+                 follow(beat_table, time_ms{1}, beat_reading_pause),
                  {[this](const auto& rows) { take_beats(rows); },
                   [this](const auto& rows) { take_beats(rows); },
                   [this](bool reachable) { note_reached(reachable); }}}
@@ -114,8 +120,7 @@
         }
         config_ = std::make_shared<const fleet_config>(std::move(content).value());
         metrics_.count("config_versions");
-        fields.add("version", config_->version())
-            .add("routes", config_->content().routes.size());
+        fields.add("version", config_->version()).add("routes", config_->content().routes.size());
         log_.write("config", fields, loop_.now());
         if (on_config) {
             on_config(config_);
@@ -142,8 +147,8 @@
         const auto id = split_row_name(item.row.key).key;
         log_fields fields;
         fields.add("server", id).add("row_version", item.row.version);
-        auto entry = item.deleted ? result<server_entry>{failure{}}
-                                  : decode_server(id, item.row.value);
+        auto entry =
+            item.deleted ? result<server_entry>{failure{}} : decode_server(id, item.row.value);
         if (!entry) {
             servers_.remove(id, loop_.now());
             log_.write("server_gone", fields.add("why", entry.why().message), loop_.now());
@@ -193,9 +198,7 @@
     // Questions still open on old connections may never be answered.
     loop_.defer([this, reachable] {
         for (auto* follower : {&config_rows_, &server_rows_}) {
-            if (reachable && follower->is_stalled()) {
-                follower->resume();
-            } else if (!reachable && !follower->is_stalled()) {
+            if (reachable == follower->is_stalled()) {
                 follower->resume();
             }
         }
--- a/modules/gateway/front_connection.cpp
+++ b/modules/gateway/front_connection.cpp
@@ -22,8 +22,8 @@
     , closing_{std::move(closing)}
     , gone_{std::move(gone)}
     , reader_{http_reader::kind::requests, limits().max_head_bytes, *this}
-    , stream_{std::make_unique<tcp_stream>(context.loop, static_cast<stream_listener&>(*this), descriptor,
-                                           silence_limits{})}
+    , stream_{std::make_unique<tcp_stream>(context.loop, static_cast<stream_listener&>(*this),
+                                           descriptor, silence_limits{})}
 {
     await_request();
 }
@@ -172,12 +172,10 @@
     if (std::exchange(rejected_, true) || shut_) {
         return;
     }
-    context_.log.write("rejected",
-                       log_fields{}
-                           .add("status", status)
-                           .add("code", static_cast<int>(code))
-                           .add("why", message),
-                       context_.loop.now());
+    context_.log.write(
+        "rejected",
+        log_fields{}.add("status", status).add("code", static_cast<int>(code)).add("why", message),
+        context_.loop.now());
     stream_->write(encode_refusal(status, describe(code).name, message, std::nullopt, true));
     shut(true);
 }
--- a/modules/gateway/front_connection.h
+++ b/modules/gateway/front_connection.h
@@ -28,6 +28,8 @@
     front_connection(call_context& context, int descriptor, local_answer local,
                      std::function<bool()> closing, std::function<void()> gone);
     ~front_connection() override;
+    front_connection(const front_connection&) = delete;
+    front_connection& operator=(const front_connection&) = delete;
 
     /// Whether no request is under way.
     [[nodiscard]] bool is_idle() const { return !call_ && !reader_.in_message(); }
--- a/modules/gateway/front_server.cpp
+++ b/modules/gateway/front_server.cpp
@@ -13,8 +13,7 @@
 const std::size_t most_connections = event_loop::capacity() * 6 / 10;
 } // namespace
 
-front_server::front_server(call_context& context, local_answer local,
-                           std::function<bool()> closing)
+front_server::front_server(call_context& context, local_answer local, std::function<bool()> closing)
     : context_{context}
     , local_{std::move(local)}
     , closing_{std::move(closing)}
@@ -35,9 +34,9 @@
         return;
     }
     const auto id = ++last_id_;
-    connections_.emplace(id, std::make_unique<front_connection>(
-                                 context_, descriptor, local_, closing_,
-                                 [this, id] { connections_.erase(id); }));
+    connections_.emplace(
+        id, std::make_unique<front_connection>(context_, descriptor, local_, closing_,
+                                               [this, id] { connections_.erase(id); }));
 }
 
 void front_server::stop_accepting()
--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -55,6 +55,8 @@
         }
         std::signal(SIGPIPE, SIG_IGN);
     }
+    signal_reader(const signal_reader&) = delete;
+    signal_reader& operator=(const signal_reader&) = delete;
     ~signal_reader() override
     {
         loop_.unwatch(ends_[0]);
@@ -114,17 +116,27 @@
         , incarnation_{make_incarnation(settings_.instance)}
         , store_{loop_, {settings_.store}}
         , view_{loop_, store_, log_, metrics_, settings_, incarnation_}
-        , grants_{loop_,          store_,
-                  log_,           metrics_,
-                  settings_.instance, incarnation_,
-                  settings_.listen,   budget_options(settings_),
+        , grants_{loop_,
+                  store_,
+                  log_,
+                  metrics_,
+                  settings_.instance,
+                  incarnation_,
+                  settings_.listen,
+                  budget_options(settings_),
                   settings_.store_writes_per_s}
         , connections_{loop_}
         , choice_{choice_options(settings_), hash64(incarnation_)}
-        , context_{loop_,  settings_,    log_,    metrics_,
-                   view_,  grants_,      connections_, choice_,
-                   std::minstd_rand{static_cast<std::minstd_rand::result_type>(
-                       hash64(incarnation_))},
+        , context_{loop_,
+                   settings_,
+                   log_,
+                   metrics_,
+                   view_,
+                   grants_,
+                   connections_,
+                   choice_,
+                   std::minstd_rand{
+                       static_cast<std::minstd_rand::result_type>(hash64(incarnation_))},
                    {},
                    0}
         , callers_{context_, [](const http_head&, bool) { return std::nullopt; },
@@ -201,8 +213,8 @@
     std::optional<std::string> ready(const http_head& head, bool close)
     {
         if (!is_ready_call(head.target)) {
-            return encode_refusal(404, describe(result_code::unknown_path).name,
-                                  "no such path", std::nullopt, close);
+            return encode_refusal(404, describe(result_code::unknown_path).name, "no such path",
+                                  std::nullopt, close);
         }
         update_serving();
         const bool is_ready = view_.is_complete() && !stopping_;
@@ -212,8 +224,8 @@
     std::optional<std::string> addresses(const http_head& head, bool close)
     {
         if (!is_address_call(head.target)) {
-            return encode_refusal(404, describe(result_code::unknown_path).name,
-                                  "no such path", std::nullopt, close);
+            return encode_refusal(404, describe(result_code::unknown_path).name, "no such path",
+                                  std::nullopt, close);
         }
         update_serving();
         const auto list = view_.entry_addresses();
@@ -317,8 +329,7 @@
         if (std::exchange(ending_, true)) {
             return;
         }
-        log_.write("end",
-                   log_fields{}.add("why", why).add("connections", callers_.connections()),
+        log_.write("end", log_fields{}.add("why", why).add("connections", callers_.connections()),
                    loop_.now());
         view_.withdraw([this] { loop_.stop(); });
         constexpr time_ms farewell{300};
--- a/modules/gateway/gateway_metrics.cpp
+++ b/modules/gateway/gateway_metrics.cpp
@@ -18,8 +18,9 @@
         found = histograms_.emplace(std::string{name}, histogram{}).first;
     }
     auto& item = found->second;
-    const auto* const bound = std::lower_bound(bounds_.begin(), bounds_.end(), duration.count());
-    ++item.buckets.at(static_cast<std::size_t>(std::distance(bounds_.begin(), bound)));
+    const auto* const bound =
+        std::lower_bound(bucket_bounds.begin(), bucket_bounds.end(), duration.count());
+    ++item.buckets.at(static_cast<std::size_t>(std::distance(bucket_bounds.begin(), bound)));
     ++item.count;
     item.sum_ms += duration.count();
 }
@@ -31,7 +32,8 @@
         std::int64_t up_to = 0;
         for (std::size_t i = 0; i < item.buckets.size(); ++i) {
             up_to += item.buckets.at(i);
-            const auto bound = i < bounds_.size() ? std::to_string(bounds_.at(i)) : "+Inf";
+            const auto bound =
+                i < bucket_bounds.size() ? std::to_string(bucket_bounds.at(i)) : "+Inf";
             text.append(name).append("_ms_bucket{le=\"").append(bound).append("\"} ");
             text.append(std::to_string(up_to)).append("\n");
         }
--- a/modules/gateway/gateway_settings.cpp
+++ b/modules/gateway/gateway_settings.cpp
@@ -11,7 +11,8 @@
 DEFINE_string(failure_domain, "", "failure domain of this instance");
 DEFINE_string(listen, "", "ip:port for callers");
 DEFINE_string(readiness_listen, "", "ip:port that answers whether this instance is ready");
-DEFINE_string(directory_listen, "", "ip:port that answers with addresses for callers; may be empty");
+DEFINE_string(directory_listen, "",
+              "ip:port that answers with addresses for callers; may be empty");
 DEFINE_string(metrics_listen, "", "ip:port of counters and histograms as text; may be empty");
 DEFINE_string(store, "", "ip:port of the platform's table store");
 DEFINE_int64(address_ttl_ms, 2000, "how long callers may keep addresses, 500 to 60000 ms");
@@ -102,8 +103,7 @@
 gateway_settings read_gateway_settings(int& argc, char** argv)
 {
     read_settings("jujubevalve-gateway: routes callers' requests to backend servers", argc, argv);
-    if (!FLAGS_settings.empty() &&
-        !gflags::ReadFromFlagsFile(FLAGS_settings, argv[0], false)) {
+    if (!FLAGS_settings.empty() && !gflags::ReadFromFlagsFile(FLAGS_settings, argv[0], false)) {
         std::cerr << "error: settings file " << FLAGS_settings << " is not valid\n";
         std::exit(2);
     }
--- a/modules/gateway/grant_service.cpp
+++ b/modules/gateway/grant_service.cpp
@@ -128,14 +128,13 @@
     publish_ceilings();
     // Before planning: what has just been granted for them must not be returned.
     serve_waiters(false);
-    while (in_flight_ < most_in_flight && store_reachable_ &&
-           pacer_.may_call(loop_.now())) {
+    while (in_flight_ < most_in_flight && store_reachable_ && pacer_.may_call(loop_.now())) {
         auto step = budgets_.next_step(instances_, loop_.now());
         if (step.write || step.read_ledger) {
             pacer_.called();
         }
         if (step.write) {
-            send(std::move(*step.write));
+            send(*step.write);
         } else if (step.read_ledger) {
             read_ledger(*step.read_ledger);
         } else {
@@ -249,13 +248,12 @@
             std::erase_if(known, [&row](const table_row& old) { return old.key == row.key; });
             known.push_back(row);
         }
-        loop_.schedule(pause, [=, this] {
-            reclaim(dead, was_bound, known.empty() ? 0 : attempt + 1, known);
-        });
+        loop_.schedule(
+            pause, [=, this] { reclaim(dead, was_bound, known.empty() ? 0 : attempt + 1, known); });
     });
 }
 
-void grant_service::send(grant_write write)
+void grant_service::send(const grant_write& write)
 {
     ++in_flight_;
     const auto sent_at = loop_.now();
@@ -291,17 +289,18 @@
     ++in_flight_;
     const auto name = split_row_name(account_budgets::ledger_row_key(account));
     // The range ends behind the one key.
-    store_.read(name.table, name.part, name.key, name.key + '\x01', [this](const result<row_page>& page) {
-        --in_flight_;
-        if (page) {
-            std::vector<table_row> rows;
-            for (const auto& seen : page->rows) {
-                rows.push_back(seen.row);
-            }
-            budgets_.rows_read(rows, loop_.now());
-        }
-        run();
-    });
+    store_.read(name.table, name.part, name.key, name.key + '\x01',
+                [this](const result<row_page>& page) {
+                    --in_flight_;
+                    if (page) {
+                        std::vector<table_row> rows;
+                        for (const auto& seen : page->rows) {
+                            rows.push_back(seen.row);
+                        }
+                        budgets_.rows_read(rows, loop_.now());
+                    }
+                    run();
+                });
 }
 
 void grant_service::serve_waiters(bool final_for_all)
@@ -313,7 +312,8 @@
         const bool last_try = final_for_all || now >= it->until;
         // Each refusal counts as another shortage, so only a hopeful attempt is made.
         if (!last_try && budgets_.book().available(it->account) < it->tokens &&
-            budgets_.book().platform_reachable() && !budgets_.is_exhausted(it->account, it->tokens)) {
+            budgets_.book().platform_reachable() &&
+            !budgets_.is_exhausted(it->account, it->tokens)) {
             waiters_.splice(waiters_.end(), open, it++);
             continue;
         }
--- a/modules/gateway/grant_service.h
+++ b/modules/gateway/grant_service.h
@@ -102,7 +102,7 @@
     void publish_ceilings();
     void reclaim(const spend_row& dead, bool was_bound, int attempt,
                  const std::vector<table_row>& rows);
-    void send(grant_write write);
+    void send(const grant_write& write);
     void read_ledger(const std::string& account);
     void serve_waiters(bool final_for_all);
     void schedule_run(time_ms delay);
--- a/modules/gateway/table_follower.h
+++ b/modules/gateway/table_follower.h
@@ -61,7 +61,7 @@
     std::int64_t attempt_{0}; ///< answers to earlier attempts are dropped
     std::int64_t version_{0};
     bool listed_{false};
-    bool current_{false}; ///< the changes since version_ can be asked for
+    bool current_{false};   ///< the changes since version_ can be asked for
     bool confirmed_{false}; ///< the last call was answered, so a long wait is worthwhile
     bool stalled_{true};
     timer_id timer_{0};
--- a/modules/net/event_loop.cpp
+++ b/modules/net/event_loop.cpp
@@ -71,6 +71,8 @@
     {
         refresh();
     }
+    impl(const impl&) = delete;
+    impl& operator=(const impl&) = delete;
 
     ~impl()
     {
@@ -148,8 +150,7 @@
 
     void update(int descriptor, ACE_Reactor_Mask mask, bool on)
     {
-        reactor_.mask_ops(descriptor, mask,
-                          on ? ACE_Reactor::ADD_MASK : ACE_Reactor::CLR_MASK);
+        reactor_.mask_ops(descriptor, mask, on ? ACE_Reactor::ADD_MASK : ACE_Reactor::CLR_MASK);
     }
 
     void remove(int descriptor)
--- a/modules/net/http_exchange.h
+++ b/modules/net/http_exchange.h
@@ -49,6 +49,8 @@
 public:
     http_exchange(event_loop& loop, const std::string& address, silence_limits limits);
     ~http_exchange() override;
+    http_exchange(const http_exchange&) = delete;
+    http_exchange& operator=(const http_exchange&) = delete;
 
     /// Sends a complete request. Only while is_reusable().
     void send(std::string_view request, bool head_only, exchange_listener& listener);
--- a/modules/net/http_head.cpp
+++ b/modules/net/http_head.cpp
@@ -62,9 +62,9 @@
     std::vector<http_header> kept;
     kept.reserve(fields_.size());
     for (const auto& field : fields_) {
-        const bool local = std::any_of(
-            connection_headers.begin(), connection_headers.end(),
-            [&](std::string_view name) { return same_header_name(field.name, name); });
+        const bool local =
+            std::any_of(connection_headers.begin(), connection_headers.end(),
+                        [&](std::string_view name) { return same_header_name(field.name, name); });
         const bool named = std::any_of(fields_.begin(), fields_.end(), [&](const auto& other) {
             return same_header_name(other.name, "connection") &&
                    names_header(other.value, field.name);
--- a/modules/net/http_reader.h
+++ b/modules/net/http_reader.h
@@ -25,10 +25,10 @@
 
 /// Why reading stopped.
 enum class read_state {
-    reading,         ///< all bytes were taken
-    message_ended,   ///< stopped behind the end of a message; next() goes on
-    head_too_large,  ///< the start line and the fields exceed the limit
-    malformed,       ///< the bytes are not a message
+    reading,        ///< all bytes were taken
+    message_ended,  ///< stopped behind the end of a message; next() goes on
+    head_too_large, ///< the start line and the fields exceed the limit
+    malformed,      ///< the bytes are not a message
 };
 
 /// Parses HTTP/1.1 incrementally. It stops behind each message, so that the caller decides when
--- a/modules/net/tcp_listener.cpp
+++ b/modules/net/tcp_listener.cpp
@@ -12,7 +12,7 @@
 
 namespace
 {
-constexpr int backlog = 512;         ///< connections that wait to be accepted
+constexpr int backlog = 512;          ///< connections that wait to be accepted
 constexpr int accepts_per_round = 32; ///< so that a flood leaves time for open connections
 } // namespace
 
--- a/modules/net/tcp_listener.h
+++ b/modules/net/tcp_listener.h
@@ -18,6 +18,8 @@
 
     tcp_listener(event_loop& loop, accepted handler);
     ~tcp_listener() override;
+    tcp_listener(const tcp_listener&) = delete;
+    tcp_listener& operator=(const tcp_listener&) = delete;
 
     /// Binds and listens. Fails with `invalid_setting`, naming the address and the cause.
     [[nodiscard]] status open(const std::string& address);
--- a/modules/net/tcp_stream.cpp
+++ b/modules/net/tcp_stream.cpp
@@ -240,8 +240,7 @@
 bool tcp_stream::flush()
 {
     if (pending() > 0) {
-        const auto n =
-            ACE_OS::send(descriptor_, out_.data() + sent_, pending(), MSG_NOSIGNAL);
+        const auto n = ACE_OS::send(descriptor_, out_.data() + sent_, pending(), MSG_NOSIGNAL);
         if (n < 0 && errno != EWOULDBLOCK && errno != EAGAIN && errno != EINTR) {
             end(stream_end::reset);
             return false;
--- a/modules/net/tcp_stream.h
+++ b/modules/net/tcp_stream.h
@@ -54,6 +54,8 @@
                silence_limits limits);
 
     ~tcp_stream() override;
+    tcp_stream(const tcp_stream&) = delete;
+    tcp_stream& operator=(const tcp_stream&) = delete;
 
     /// Sends bytes, now or as soon as the peer takes them.
     void write(std::string_view bytes);
--- a/modules/net/tests/http_exchange_tests.cpp
+++ b/modules/net/tests/http_exchange_tests.cpp
@@ -18,9 +18,9 @@
     explicit scripted_peer(event_loop& loop)
         : loop_{loop}
         , listener_{loop, [this](int descriptor) {
-                        stream_ = std::make_unique<tcp_stream>(
-                            loop_, static_cast<stream_listener&>(*this), descriptor,
-                            silence_limits{});
+                        stream_ = std::make_unique<tcp_stream>(loop_,
+                                                               static_cast<stream_listener&>(*this),
+                                                               descriptor, silence_limits{});
                     }}
     {
         CHECK(listener_.open("127.0.0.1:0").has_value());
@@ -100,7 +100,7 @@
     scripted_peer peer{loop};
     asker caller{loop};
 
-    void ask(http_exchange& exchange)
+    void ask(http_exchange & exchange)
     {
         exchange.send(request, false, caller);
         loop.schedule(seconds(5), [this] { loop.stop(); });
--- a/modules/net/tests/http_reader_tests.cpp
+++ b/modules/net/tests/http_reader_tests.cpp
@@ -36,7 +36,8 @@
 // Guards against a second request being taken for a part of the first.
 TEST(http_reader, stops_behind_each_message)
 {
-    const std::string two = "POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nxyGET /b HTTP/1.1\r\n\r\n";
+    const std::string two =
+        "POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nxyGET /b HTTP/1.1\r\n\r\n";
     const auto taken = requests.feed(two);
     CHECK(requests.state() == read_state::message_ended);
     STRCMP_EQUAL("xy", seen.body.c_str());
@@ -60,8 +61,8 @@
 // Guards against a head that arrives byte by byte and against folded state between bytes.
 TEST(http_reader, takes_single_bytes)
 {
-    const std::string text =
-        "POST /a?b=c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+    const std::string text = "POST /a?b=c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+                             "chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
     for (const char c : text) {
         CHECK_EQUAL(1U, requests.feed({&c, 1}));
     }
@@ -100,18 +101,16 @@
     CHECK(responses.state() == read_state::message_ended);
 }
 
-TEST_GROUP(http_head)
-{
-};
+TEST_GROUP(http_head){};
 
 // Guards against passing on fields that the caller declared to be for its connection only.
 TEST(http_head, leaves_out_what_concerns_one_connection)
 {
     const header_list fields{{{"Connection", "X-Local, close"},
-                               {"x-local", "1"},
-                               {"Keep-Alive", "timeout=3"},
-                               {"Content-Length", "3"},
-                               {"X-Kept", "2"}}};
+                              {"x-local", "1"},
+                              {"Keep-Alive", "timeout=3"},
+                              {"Content-Length", "3"},
+                              {"X-Kept", "2"}}};
     const auto kept = fields.end_to_end();
     CHECK_EQUAL(1U, kept.size());
     STRCMP_EQUAL("X-Kept", kept.front().name.c_str());
--- a/modules/standins/child_process.cpp
+++ b/modules/standins/child_process.cpp
@@ -43,6 +43,7 @@
 std::vector<char*> pointers(std::vector<std::string>& texts)
 {
     std::vector<char*> result;
+    result.reserve(texts.size() + 1);
     for (auto& text : texts) {
         result.push_back(text.data());
     }
--- a/modules/standins/memory_instance_list.h
+++ b/modules/standins/memory_instance_list.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/time_ms.h"
-#include "storage/instance_list.h"
 #include "standins/memory_faults.h"
+#include "storage/instance_list.h"
 
 #include <functional>
 #include <map>
--- a/modules/standins/memory_table_store.h
+++ b/modules/standins/memory_table_store.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "storage/table_store.h"
 #include "standins/memory_faults.h"
+#include "storage/table_store.h"
 
 #include <map>
 #include <memory>
--- a/modules/standins/site/row_store.cpp
+++ b/modules/standins/site/row_store.cpp
@@ -19,10 +19,8 @@
 
 json row_store::to_json(const row_key& key, const row& item)
 {
-    json object{{"table", key.table},
-                {"part", key.part},
-                {"key", key.key},
-                {"row-version", item.version}};
+    json object{
+        {"table", key.table}, {"part", key.part}, {"key", key.key}, {"row-version", item.version}};
     if (item.deleted) {
         object["deleted"] = true;
     } else {
--- a/modules/standins/site/row_store.h
+++ b/modules/standins/site/row_store.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include <condition_variable>
 #include <cstdint>
 #include <map>
 #include <mutex>
-#include <condition_variable>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
--- a/modules/standins/site/run_book.cpp
+++ b/modules/standins/site/run_book.cpp
@@ -57,8 +57,8 @@
 
 std::string event_text(const std::string& id, int number)
 {
-    return "id: " + std::to_string(number) + "\ndata: " +
-           std::to_string(hash64(id, static_cast<std::uint64_t>(number))) + "\n\n";
+    return "id: " + std::to_string(number) +
+           "\ndata: " + std::to_string(hash64(id, static_cast<std::uint64_t>(number))) + "\n\n";
 }
 
 int event_count(const std::string& id)
--- a/modules/standins/site/site.cpp
+++ b/modules/standins/site/site.cpp
@@ -27,9 +27,8 @@
     local.sin_family = AF_INET;
     local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof local;
-    const bool bound =
-        ::bind(descriptor, reinterpret_cast<sockaddr*>(&local), size) == 0 &&
-        ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&local), &size) == 0;
+    const bool bound = ::bind(descriptor, reinterpret_cast<sockaddr*>(&local), size) == 0 &&
+                       ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&local), &size) == 0;
     ::close(descriptor);
     if (!bound) {
         throw std::runtime_error{"no free port on loopback"};
@@ -40,18 +39,10 @@
 json route(const std::string& name, const std::string& prefix, const char* type,
            const char* service, int attempts, bool resumable)
 {
-    return {{"name", name},
-            {"host", site::host},
-            {"prefix", prefix},
-            {"type", type},
-            {"timeout-ms", 4000},
-            {"target-latency-ms", 600},
-            {"priority", 0},
-            {"service", service},
-            {"max-attempts", attempts},
-            {"public", false},
-            {"sticky", false},
-            {"resumable", resumable},
+    return {{"name", name},        {"host", site::host}, {"prefix", prefix},
+            {"type", type},        {"timeout-ms", 4000}, {"target-latency-ms", 600},
+            {"priority", 0},       {"service", service}, {"max-attempts", attempts},
+            {"public", false},     {"sticky", false},    {"resumable", resumable},
             {"itl-target-ms", 250}};
 }
 } // namespace
@@ -77,8 +68,12 @@
         add("plain-" + std::to_string(i), "orders");
     }
     for (int i = 0; i < options.gateways; ++i) {
-        site_gateway made{"gateway-" + std::to_string(i), free_address(), free_address(),
-                          free_address(), std::make_unique<tcp_relay>(store_.address()), nullptr};
+        site_gateway made{"gateway-" + std::to_string(i),
+                          free_address(),
+                          free_address(),
+                          free_address(),
+                          std::make_unique<tcp_relay>(store_.address()),
+                          nullptr};
         gateways_.push_back(std::move(made));
     }
     for (auto& gateway : gateways_) {
@@ -92,12 +87,11 @@
 {
     gateway.process = std::make_unique<process::child_process>(
         "jujubevalve-gateway",
-        std::vector<std::string>{"--instance=" + gateway.name, "--failure_domain=a",
-                                 "--listen=" + gateway.listen,
-                                 "--readiness_listen=" + gateway.readiness,
-                                 "--directory_listen=" + gateway.directory,
-                                 "--store=" + gateway.store_path->address(),
-                                 "--retry_slack=1000", "--stop_limit_ms=8000"},
+        std::vector<std::string>{
+            "--instance=" + gateway.name, "--failure_domain=a", "--listen=" + gateway.listen,
+            "--readiness_listen=" + gateway.readiness, "--directory_listen=" + gateway.directory,
+            "--store=" + gateway.store_path->address(), "--retry_slack=1000",
+            "--stop_limit_ms=8000"},
         options_.log_folder + "/" + gateway.name + ".log");
 }
 
--- a/modules/standins/site/site_caller.h
+++ b/modules/standins/site/site_caller.h
@@ -17,7 +17,7 @@
 /// What one attempt brought.
 struct attempt_result {
     std::string id;
-    int status{0};       ///< 0: no complete answer
+    int status{0};        ///< 0: no complete answer
     bool complete{false}; ///< a whole, right answer
 };
 
--- a/modules/standins/tests/platform_server_tests.cpp
+++ b/modules/standins/tests/platform_server_tests.cpp
@@ -1,7 +1,7 @@
 #include "core/core.h"
 #include "http/http.h"
-#include "storage/storage.h"
 #include "standins/platform_server.h"
+#include "storage/storage.h"
 
 #include <arpa/inet.h>
 #include <atomic>
--- a/tests/gateway/gateway_tests.cpp
+++ b/tests/gateway/gateway_tests.cpp
@@ -80,7 +80,10 @@
         caller.reset();
         where.reset();
     }
-    std::string address(std::size_t i) { return where->gateways()[i].listen; }
+    std::string address(std::size_t i)
+    {
+        return where->gateways()[i].listen;
+    }
 
     /// Calls until the kind is served or the time is over.
     bool serves(std::size_t i, site_call kind, time_ms limit)
@@ -251,10 +254,9 @@
     }
     int complete = 0;
     for (int i = 0; i < 40; ++i) {
-        complete += caller->call(address(static_cast<std::size_t>(i % 3)), site_call::chat, 1)
-                            .complete
-                        ? 1
-                        : 0;
+        complete +=
+            caller->call(address(static_cast<std::size_t>(i % 3)), site_call::chat, 1).complete ? 1
+                                                                                                : 0;
     }
     CHECK(complete >= 34); // three servers in a row break off 27 of 1000
 }
