--- a/modules/budget/grant_book.cpp
+++ b/modules/budget/grant_book.cpp
@@ -168,6 +168,12 @@
     return true;
 }
 
+void grant_book::note_waiting(std::string_view budget, token_count tokens, time_ms now)
+{
+    auto& item = at(budget, now);
+    item.shortage = std::max(item.shortage, std::min(tokens, max_token_count));
+}
+
 token_count grant_book::available(std::string_view budget) const
 {
     const auto* const item = find(budget);
--- a/modules/budget/grant_book.h
+++ b/modules/budget/grant_book.h
@@ -139,6 +139,9 @@
     /// Gives a reservation back because no backend server was reached.
     bool release(reservation_id id);
 
+    /// Requests for so many tokens are waiting; the next refill makes up for them.
+    void note_waiting(std::string_view budget, token_count tokens, time_ms now);
+
     /// Tokens that can be reserved now; negative after usage above reservations.
     [[nodiscard]] token_count available(std::string_view budget) const;
     /// Tokens granted as far as this incarnation may assume; never above the row.
--- a/modules/dispatch/account_budgets.h
+++ b/modules/dispatch/account_budgets.h
@@ -52,6 +52,12 @@
 
     [[nodiscard]] reserve_outcome reserve(std::string_view account, token_count tokens,
                                           time_ms now);
+    /// Requests for so many tokens of the account are waiting for a refill.
+    void note_waiting(std::string_view account, token_count tokens, time_ms now)
+    {
+        book_.note_waiting(account, tokens, now);
+    }
+
     /// Whether, as far as known, the whole budget has not so many tokens left.
     [[nodiscard]] bool is_exhausted(std::string_view account, token_count tokens) const;
 
--- a/modules/dispatch/tests/account_budgets_tests.cpp
+++ b/modules/dispatch/tests/account_budgets_tests.cpp
@@ -200,6 +200,26 @@
     CHECK(before + after >= 2 * limit * 95 / 100);
 }
 
+// Guards against refusing a request that came while a refill was under way, though the budget has
+// plenty left.
+TEST(account_budgets, a_request_that_waits_behind_a_refill_gets_the_next_one)
+{
+    const auto a = instance("a");
+    a->set_limits({{"crew", 10'000'000}}, now);
+    settle_steps(*a);
+    const auto had = a->book().available("crew");
+    (void)a->reserve("crew", had + 1'000, now);
+    const auto under_way = a->next_step(2, now);
+    CHECK(under_way.write.has_value());
+    (void)a->reserve("crew", 3 * had, now); // counted by nobody once the refill has committed
+    std::vector<table_row> current;
+    const auto outcome = rows.commit(under_way.write->planned.change, current);
+    a->committed(*under_way.write, outcome, current, now);
+    a->note_waiting("crew", 3 * had, now);
+    settle_steps(*a);
+    CHECK(a->reserve("crew", 3 * had, now).id != 0);
+}
+
 // Guards against stranding what a stopping instance has not spent.
 TEST(account_budgets, a_closed_instance_returns_what_is_left)
 {
--- a/modules/gateway/grant_service.cpp
+++ b/modules/gateway/grant_service.cpp
@@ -128,6 +128,16 @@
     publish_ceilings();
     // Before planning: what has just been granted for them must not be returned.
     serve_waiters(false);
+    // A refill that was planned before a request came does not count it.
+    std::map<std::string_view, token_count> waiting;
+    for (const auto& item : waiters_) {
+        waiting[item.account] += item.tokens;
+    }
+    for (const auto& [account, tokens] : waiting) {
+        if (budgets_.book().available(account) < tokens) {
+            budgets_.note_waiting(account, tokens, loop_.now());
+        }
+    }
     while (in_flight_ < most_in_flight && store_reachable_ && pacer_.may_call(loop_.now())) {
         auto step = budgets_.next_step(instances_, loop_.now());
         if (step.write || step.read_ledger) {
--- a/modules/router/budget_service.h
+++ b/modules/router/budget_service.h
@@ -2,8 +2,8 @@
 
 #include "budget/budget.h"
 #include "config/config.h"
-#include "storage/http_platform.h"
 #include "requests/server_sequence.h"
+#include "storage/http_platform.h"
 
 #include <condition_variable>
 #include <functional>
--- a/modules/router/config_service.h
+++ b/modules/router/config_service.h
@@ -5,8 +5,8 @@
 #include "config/config_loader.h"
 #include "membership/membership.h"
 #include "peer/peer.h"
-#include "storage/http_platform.h"
 #include "routing/router_match.h"
+#include "storage/http_platform.h"
 
 #include <functional>
 #include <memory>
--- a/modules/router/instance_directory.h
+++ b/modules/router/instance_directory.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "budget/budget.h"
-#include "storage/http_platform.h"
 #include "requests/key_home.h"
 #include "router/membership_service.h"
+#include "storage/http_platform.h"
 
 #include <map>
 #include <memory>
--- a/modules/router/recovery_service.h
+++ b/modules/router/recovery_service.h
@@ -2,12 +2,12 @@
 
 #include "backend/backend_client.h"
 #include "peer/peer.h"
-#include "storage/http_platform.h"
 #include "recovery/recovery.h"
 #include "router/config_service.h"
 #include "router/instance_directory.h"
 #include "router/router_settings.h"
 #include "router/server_pools.h"
+#include "storage/http_platform.h"
 
 #include <memory>
 #include <mutex>
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -2,9 +2,9 @@
 
 #include "budget/budget.h"
 #include "config/config.h"
-#include "storage/http_platform.h"
-#include "standins/child_process.h"
 #include "process/polling.h"
+#include "standins/child_process.h"
+#include "storage/http_platform.h"
 
 #include <map>
 #include <memory>
