--- a/modules/gateway/call.h
+++ b/modules/gateway/call.h
@@ -34,6 +34,9 @@
     [[nodiscard]] bool is_ended() const { return ended_; }
 
 private:
+    /// Least time that must be left for another attempt.
+    static constexpr time_ms least_attempt{30};
+
     /// What is known about whether a server has run the request.
     enum class run_state {
         not_run, ///< no server has it, or each that had it stated that it did not run it
--- /dev/null
+++ b/modules/gateway/call_answer.cpp
@@ -0,0 +1,322 @@
+// The part of class call that takes servers' answers and passes them on.
+#include "gateway/call.h"
+#include "platform/call_codec.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdio>
+#include <utility>
+
+namespace jujubevalve
+{
+
+namespace
+{
+/// Connections that may fail before the request is refused.
+constexpr int most_connect_failures = 4;
+/// A resumable stream that pauses for this many of its allowed gaps goes on at another server.
+constexpr int stall_in_gaps = 6;
+/// Largest answer that is held back until it is complete.
+constexpr std::size_t most_buffered = 8 * 1024 * 1024;
+/// A caller that has not taken this much is given up.
+constexpr std::size_t most_unsent = 4 * 1024 * 1024;
+
+bool is_success(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+// A status that promises the caller that its request has not run.
+bool promises_not_run(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+void append_chunk(std::string& out, std::string_view bytes)
+{
+    std::array<char, 20> size{};
+    const auto n = std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+    out.append(size.data(), static_cast<std::size_t>(n)).append(bytes).append("\r\n");
+}
+
+std::optional<std::int64_t> event_number(std::string_view id)
+{
+    std::int64_t number = 0;
+    const auto parsed = std::from_chars(id.data(), id.data() + id.size(), number);
+    return parsed.ec == std::errc{} && parsed.ptr == id.data() + id.size() && !id.empty()
+               ? std::optional{number}
+               : std::nullopt;
+}
+} // namespace
+
+bool call::on_response_head(const http_head& head)
+{
+    auto response = decode_response(head);
+    if (response.request_id && *response.request_id != request_.id) {
+        context_.metrics.count("answers_to_other_requests");
+        context_.log.write("stray_answer",
+                           log_fields{}
+                               .add("id", request_.id)
+                               .add("server", server_id_)
+                               .add("status", head.status),
+                           context_.loop.now());
+        return false;
+    }
+    response_ = std::move(response);
+    response_head_ = head;
+    context_.view.servers().heard(server_id_, context_.loop.now());
+    if (response_.load) {
+        context_.view.servers().reported(server_id_, *response_.load, context_.loop.now());
+    }
+    in_stream_ = is_success(response_.status) && response_.is_event_stream && response_.is_signed &&
+                 !response_.encoded;
+    if (in_stream_) {
+        state_ = run_state::ran;
+        context_.loop.cancel(std::exchange(attempt_timer_, 0));
+        last_event_at_ = context_.loop.now();
+        watch_stream();
+    }
+    return true;
+}
+
+void call::on_response_body(std::string_view bytes)
+{
+    context_.view.servers().heard(server_id_, context_.loop.now());
+    if (in_stream_) {
+        events_.add(bytes);
+        relay_events();
+        return;
+    }
+    if (response_body_.size() + bytes.size() > most_buffered) {
+        connection_->abandon();
+        on_exchange_failed(exchange_failure::broken_response);
+        return;
+    }
+    response_body_.append(bytes);
+}
+
+void call::relay_events()
+{
+    std::string out;
+    while (const auto event = events_.next()) {
+        const auto number = event_number(event->id);
+        const auto last = last_event_ ? event_number(*last_event_) : std::nullopt;
+        if (number && last && *number <= *last) {
+            continue; // the server repeats what the caller has
+        }
+        if (number && last && *number > *last + 1) {
+            lost_in_stream("events are missing");
+            return;
+        }
+        if (!std::exchange(head_forwarded_, true)) {
+            closing_ = caller_.must_close() || !head_.http_1_1;
+            out += encode_caller_head(response_head_, {std::nullopt, closing_, head_.http_1_1});
+            context_.metrics.observe("first_event", context_.loop.now() - received_at_);
+            context_.view.servers().prompt_read(server_id_, std::exchange(unread_tokens_, 0));
+        }
+        if (head_.http_1_1) {
+            append_chunk(out, event->bytes);
+        } else {
+            out.append(event->bytes);
+        }
+        ++events_sent_;
+        if (!event->id.empty()) {
+            last_event_ = std::string{event->id};
+        }
+    }
+    if (out.empty()) {
+        return;
+    }
+    last_event_at_ = context_.loop.now();
+    caller_.send(out);
+    if (caller_.unsent() > most_unsent) {
+        leave_server(server_verdict::neutral);
+        caller_.break_off();
+        end("caller too slow", 0);
+    }
+}
+
+void call::watch_stream()
+{
+    if (!route_->resumable || route_->event_gap.count() == 0) {
+        return;
+    }
+    const auto patience = route_->event_gap * stall_in_gaps;
+    attempt_timer_ =
+        context_.loop.schedule(last_event_at_ + patience - context_.loop.now(), [this, patience] {
+            attempt_timer_ = 0;
+            if (context_.loop.now() - last_event_at_ >= patience) {
+                stream_stalled();
+            } else {
+                watch_stream();
+            }
+        });
+}
+
+void call::stream_stalled()
+{
+    if (!context_.view.servers().is_silent_since(server_id_, last_event_at_) ||
+        !may_send_again(true)) {
+        last_event_at_ = context_.loop.now();
+        watch_stream();
+        return;
+    }
+    leave_server(server_verdict::unreachable);
+    dispatch();
+}
+
+void call::on_response_end()
+{
+    if (in_stream_) {
+        end_stream();
+        return;
+    }
+    if (response_.refused && promises_not_run(response_.status)) {
+        take_refusal(response_.status);
+    } else if (response_.encoded || (is_success(response_.status) && !response_.is_signed)) {
+        take_bad_answer("not the server's own answer");
+    } else {
+        take_plain_answer();
+    }
+}
+
+void call::take_refusal(int status)
+{
+    leave_server(status == 421 ? server_verdict::misdirected : server_verdict::refused);
+    if (state_ == run_state::sent) {
+        state_ = run_state::not_run;
+    }
+    if (may_send_again(false)) {
+        dispatch();
+        return;
+    }
+    if (state_ == run_state::not_run) {
+        refuse(result_code::overloaded, 503, "the backend servers are full", pause_before_return());
+    } else {
+        fail_call("refused after an earlier attempt");
+    }
+}
+
+void call::take_plain_answer()
+{
+    const auto status = response_.status;
+    if (status >= 500 || promises_not_run(status)) {
+        if (may_send_again(true)) {
+            leave_server(server_verdict::bad_answer);
+            state_ = run_state::ran;
+            dispatch();
+            return;
+        }
+        leave_server(server_verdict::bad_answer);
+        state_ = run_state::ran;
+        if (promises_not_run(status)) {
+            fail_call("the server's status would promise that the request has not run");
+            return;
+        }
+    } else {
+        context_.view.servers().answered_within(server_id_, context_.loop.now() - sent_at_);
+        leave_server(server_verdict::good);
+        state_ = run_state::ran;
+    }
+    forward_buffered();
+}
+
+void call::forward_buffered()
+{
+    closing_ = caller_.must_close() || !head_.http_1_1 || !head_.keep_alive;
+    auto out = encode_caller_head(response_head_, {response_body_.size(), closing_, true});
+    out.append(response_body_);
+    caller_.send(out);
+    caller_.finish(closing_);
+    end("answered", response_.status);
+}
+
+void call::take_bad_answer(std::string_view why)
+{
+    leave_server(server_verdict::bad_answer);
+    state_ = run_state::ran;
+    if (may_send_again(true)) {
+        dispatch();
+    } else {
+        fail_call(why);
+    }
+}
+
+void call::end_stream()
+{
+    if (events_.has_partial()) {
+        lost_in_stream("the stream ends inside an event");
+        return;
+    }
+    leave_server(server_verdict::good);
+    if (!std::exchange(head_forwarded_, true)) {
+        closing_ = caller_.must_close() || !head_.http_1_1;
+        caller_.send(encode_caller_head(response_head_, {std::nullopt, closing_, head_.http_1_1}));
+    }
+    if (head_.http_1_1) {
+        caller_.send("0\r\n\r\n");
+    }
+    caller_.finish(closing_);
+    end("answered", response_.status);
+}
+
+void call::lost_in_stream(std::string_view why)
+{
+    connection_->abandon();
+    leave_server(server_verdict::unreachable);
+    events_.clear();
+    if (may_send_again(true)) {
+        context_.log.write("stream_resumed",
+                           log_fields{}
+                               .add("id", request_.id)
+                               .add("after", last_event_.value_or(""))
+                               .add("why", why),
+                           context_.loop.now());
+        dispatch();
+        return;
+    }
+    fail_call(why);
+}
+
+void call::on_exchange_failed(exchange_failure failure)
+{
+    context_.log.write("attempt_failed",
+                       log_fields{}
+                           .add("id", request_.id)
+                           .add("server", server_id_)
+                           .add("failure", to_string(failure))
+                           .add("after_ms", context_.loop.now() - sent_at_)
+                           .add("reused", static_cast<int>(connection_->was_used())),
+                       context_.loop.now());
+    if (in_stream_) {
+        lost_in_stream(to_string(failure));
+        return;
+    }
+    leave_server(server_verdict::unreachable);
+    if (failure == exchange_failure::not_connected) {
+        if (state_ == run_state::sent) {
+            state_ = run_state::not_run;
+        }
+        --attempts_;
+        if (++connect_failures_ < most_connect_failures && time_left() > least_attempt) {
+            dispatch();
+            return;
+        }
+        if (state_ == run_state::not_run) {
+            refuse(result_code::no_backend_server, 503, "no backend server can be reached",
+                   pause_before_return());
+            return;
+        }
+        fail_call("no further server can be reached");
+        return;
+    }
+    state_ = run_state::ran;
+    if (may_send_again(true)) {
+        dispatch();
+    } else {
+        fail_call(to_string(failure));
+    }
+}
+
+} // namespace jujubevalve
--- a/modules/gateway/gateway_settings.cpp
+++ b/modules/gateway/gateway_settings.cpp
@@ -17,7 +17,6 @@
 DEFINE_string(store, "", "ip:port of the platform's table store");
 DEFINE_int64(address_ttl_ms, 2000, "how long callers may keep addresses, 500 to 60000 ms");
 DEFINE_int64(stop_limit_ms, 8000, "longest time from SIGTERM to the end, 1000 to 600000 ms");
-DEFINE_int64(drain_time_ms, 2000, "time in which a leaving server gets no more work, ms");
 DEFINE_double(retry_ratio, 0.2, "repeats for each request of a service, whole fleet, 0 to 10");
 DEFINE_int64(retry_window_ms, 10000, "window of the bound on repeats, 1000 to 600000 ms");
 DEFINE_int64(retry_slack, 10, "repeats in a window beyond the ratio, whole fleet, 0 to 100000");
@@ -49,7 +48,6 @@
     }
     check.range("address_ttl_ms", FLAGS_address_ttl_ms, 500, 60'000);
     check.range("stop_limit_ms", FLAGS_stop_limit_ms, 1000, 600'000);
-    check.range("drain_time_ms", FLAGS_drain_time_ms, 100, 600'000);
     check.range("retry_window_ms", FLAGS_retry_window_ms, 1000, 600'000);
     check.range("retry_slack", FLAGS_retry_slack, 0, 100'000);
     check.range("grant_horizon_ms", FLAGS_grant_horizon_ms, 100, 600'000);
@@ -91,7 +89,6 @@
     settings.store = FLAGS_store;
     settings.address_ttl = time_ms{FLAGS_address_ttl_ms};
     settings.stop_limit = time_ms{FLAGS_stop_limit_ms};
-    settings.drain_time = time_ms{FLAGS_drain_time_ms};
     settings.retry_limit = {FLAGS_retry_ratio, time_ms{FLAGS_retry_window_ms}, FLAGS_retry_slack};
     settings.capacity = machine_capacity();
     settings.store_writes_per_s = FLAGS_store_writes_per_s;
--- a/modules/gateway/gateway_settings.h
+++ b/modules/gateway/gateway_settings.h
@@ -20,7 +20,6 @@
     std::string store;
     time_ms address_ttl{}; ///< how long callers may keep addresses
     time_ms stop_limit{};  ///< time between the request to stop and the process's end
-    time_ms drain_time{};  ///< within which a leaving server must get no more work
     fleet_retry_limit retry_limit;
     std::int64_t capacity{};     ///< requests per second that this machine can carry
     double store_writes_per_s{}; ///< that the store takes from the whole fleet
