--- a/modules/dispatch/tests/account_budgets_tests.cpp
+++ b/modules/dispatch/tests/account_budgets_tests.cpp
@@ -211,13 +211,14 @@
     (void)a->reserve("crew", had + 1'000, now);
     const auto under_way = a->next_step(2, now);
     CHECK(under_way.write.has_value());
-    (void)a->reserve("crew", 3 * had, now); // counted by nobody once the refill has committed
+    const auto waiting = had + 1'500; // a little more than the refill brings
+    (void)a->reserve("crew", waiting, now);
     std::vector<table_row> current;
     const auto outcome = rows.commit(under_way.write->planned.change, current);
     a->committed(*under_way.write, outcome, current, now);
-    a->note_waiting("crew", 3 * had, now);
+    a->note_waiting("crew", waiting, now);
     settle_steps(*a);
-    CHECK(a->reserve("crew", 3 * had, now).id != 0);
+    CHECK(a->reserve("crew", waiting, now).id != 0);
 }
 
 // Guards against stranding what a stopping instance has not spent.
