Settings: take fractions wherever the platform gives figures

Whole seconds were also turned into ms by appending three zeros in the template, which a fraction would break. The process tests now start every gateway with fractions; with the old flags they fail, as no process starts.

--- a/modules/gateway/gateway_settings.cpp
+++ b/modules/gateway/gateway_settings.cpp
@@ -16,10 +16,10 @@
 DEFINE_string(metrics_listen, "", "ip:port of counters and histograms as text; may be empty");
 DEFINE_string(store, "", "ip:port of the platform's table store");
 DEFINE_int64(address_ttl_ms, 2000, "how long callers may keep addresses, 500 to 60000 ms");
-DEFINE_int64(stop_limit_ms, 8000, "longest time from SIGTERM to the end, 1000 to 600000 ms");
+DEFINE_double(stop_limit_s, 8, "longest time from SIGTERM to the end, 1 to 600 s");
 DEFINE_double(retry_ratio, 0.2, "repeats for each request of a service, whole fleet, 0 to 10");
-DEFINE_int64(retry_window_ms, 10000, "window of the bound on repeats, 1000 to 600000 ms");
-DEFINE_int64(retry_slack, 10, "repeats in a window beyond the ratio, whole fleet, 0 to 100000");
+DEFINE_double(retry_window_s, 10, "window of the bound on repeats, 1 to 600 s");
+DEFINE_double(retry_slack, 10, "repeats in a window beyond the ratio, whole fleet, 0 to 100000");
 DEFINE_double(cpu_cores, 1, "part of a core, or cores, that this process may use, 0.01 to 1024");
 DEFINE_double(link_mbps, 1000, "speed of this machine's link, 0.1 to 1000000 Mbit/s");
 DEFINE_double(store_writes_per_s, 800,
@@ -33,6 +33,21 @@
 
 namespace
 {
+void check_number(settings_check& check, std::string_view flag, double value, double low,
+                  double high)
+{
+    if (!(value >= low && value <= high)) {
+        check.fail(flag, std::to_string(value),
+                   "a number from " + std::to_string(low) + " to " + std::to_string(high));
+    }
+}
+
+// The platform gives its figures as whole numbers or as fractions.
+time_ms from_seconds(double count)
+{
+    return time_ms{static_cast<std::int64_t>(count * 1000)};
+}
+
 settings_check check_flags()
 {
     settings_check check;
@@ -47,23 +62,14 @@
         check.address("metrics_listen", FLAGS_metrics_listen);
     }
     check.range("address_ttl_ms", FLAGS_address_ttl_ms, 500, 60'000);
-    check.range("stop_limit_ms", FLAGS_stop_limit_ms, 1000, 600'000);
-    check.range("retry_window_ms", FLAGS_retry_window_ms, 1000, 600'000);
-    check.range("retry_slack", FLAGS_retry_slack, 0, 100'000);
+    check_number(check, "stop_limit_s", FLAGS_stop_limit_s, 1, 600);
+    check_number(check, "retry_window_s", FLAGS_retry_window_s, 1, 600);
+    check_number(check, "retry_slack", FLAGS_retry_slack, 0, 100'000);
+    check_number(check, "retry_ratio", FLAGS_retry_ratio, 0, 10);
+    check_number(check, "cpu_cores", FLAGS_cpu_cores, 0.01, 1024);
+    check_number(check, "link_mbps", FLAGS_link_mbps, 0.1, 1'000'000);
+    check_number(check, "store_writes_per_s", FLAGS_store_writes_per_s, 1, 1'000'000);
     check.range("grant_horizon_ms", FLAGS_grant_horizon_ms, 100, 600'000);
-    if (FLAGS_cpu_cores < 0.01 || FLAGS_cpu_cores > 1024) {
-        check.fail("cpu_cores", std::to_string(FLAGS_cpu_cores), "a number from 0.01 to 1024");
-    }
-    if (FLAGS_link_mbps < 0.1 || FLAGS_link_mbps > 1'000'000) {
-        check.fail("link_mbps", std::to_string(FLAGS_link_mbps), "a number from 0.1 to 1000000");
-    }
-    if (FLAGS_store_writes_per_s < 1 || FLAGS_store_writes_per_s > 1'000'000) {
-        check.fail("store_writes_per_s", std::to_string(FLAGS_store_writes_per_s),
-                   "a number from 1 to 1000000");
-    }
-    if (FLAGS_retry_ratio < 0 || FLAGS_retry_ratio > 10) {
-        check.fail("retry_ratio", std::to_string(FLAGS_retry_ratio), "a number from 0 to 10");
-    }
     return check;
 }
 
@@ -88,8 +94,9 @@
     settings.metrics_listen = FLAGS_metrics_listen;
     settings.store = FLAGS_store;
     settings.address_ttl = time_ms{FLAGS_address_ttl_ms};
-    settings.stop_limit = time_ms{FLAGS_stop_limit_ms};
-    settings.retry_limit = {FLAGS_retry_ratio, time_ms{FLAGS_retry_window_ms}, FLAGS_retry_slack};
+    settings.stop_limit = from_seconds(FLAGS_stop_limit_s);
+    settings.retry_limit = {FLAGS_retry_ratio, from_seconds(FLAGS_retry_window_s),
+                            static_cast<std::int64_t>(FLAGS_retry_slack)};
     settings.capacity = machine_capacity();
     settings.store_writes_per_s = FLAGS_store_writes_per_s;
     settings.grant_horizon = time_ms{FLAGS_grant_horizon_ms};
--- a/modules/standins/site/site.cpp
+++ b/modules/standins/site/site.cpp
@@ -90,8 +90,8 @@
         std::vector<std::string>{
             "--instance=" + gateway.name, "--failure_domain=a", "--listen=" + gateway.listen,
             "--readiness_listen=" + gateway.readiness, "--directory_listen=" + gateway.directory,
-            "--store=" + gateway.store_path->address(), "--retry_slack=1000",
-            "--stop_limit_ms=8000"},
+            "--store=" + gateway.store_path->address(), "--retry_slack=1000.5",
+            "--stop_limit_s=8.0"},
         options_.log_folder + "/" + gateway.name + ".log");
 }
 
