Ceilings on spend rise with the age of their publication

Room that grows with the age of the row strands less after a death soon after it, and more can be given for later ages.

The rows of ceilings are now conditional on their version: a write whose answer was lost could take effect after a later one and bring back lower ceilings, which a successor would have believed.

--- a/modules/dispatch/account_budgets.cpp
+++ b/modules/dispatch/account_budgets.cpp
@@ -195,9 +195,9 @@
     }
 }
 
-token_count account_budgets::room_below_ceiling(std::string_view account) const
+token_count account_budgets::room_below_ceiling(std::string_view account, time_ms now) const
 {
-    return ceilings_.published(account) - book_.spent(account) - book_.reserved(account);
+    return ceilings_.bound(account, now) - book_.spent(account) - book_.reserved(account);
 }
 
 std::vector<spend_facts> account_budgets::spend(time_ms now) const
--- a/modules/dispatch/account_budgets.h
+++ b/modules/dispatch/account_budgets.h
@@ -104,8 +104,8 @@
     /// Whether the store answers at present, so that waiting for a write makes sense.
     void set_store_reachable(bool reachable) { store_reachable_ = reachable; }
 
-    /// Tokens that may still be reserved below the published ceiling.
-    [[nodiscard]] token_count room_below_ceiling(std::string_view account) const;
+    /// Tokens that may still be reserved below the ceiling.
+    [[nodiscard]] token_count room_below_ceiling(std::string_view account, time_ms now) const;
 
     /// Present spend of all accounts in use, for the ceilings.
     [[nodiscard]] std::vector<spend_facts> spend(time_ms now) const;
--- a/modules/dispatch/spend_ceilings.cpp
+++ b/modules/dispatch/spend_ceilings.cpp
@@ -8,14 +8,21 @@
 
 namespace
 {
-/// Room below a ceiling over what is wanted, in multiples of it, at which it is lowered.
-constexpr std::int64_t lower_at = 2;
 /// Time of the fleet for each instance's write: at most 125 a second are spent on ceilings.
 constexpr time_ms write_spacing{8};
-/// Demand in a few seconds varies around its average; requests differ in size by a factor of ten.
-constexpr double demand_margin = 1.6;
+/// Demand for which there is room at the time of publication: two intervals and a slow answer.
+constexpr time_ms covered{1000};
+/// Growth in multiples of the demand, which varies around its average in a few seconds.
+constexpr double growth_margin = 2;
+/// Growth over the whole time in which ceilings bind, in multiples of the most room.
+constexpr std::int64_t growth_in_rooms = 4;
 } // namespace
 
+token_count spend_ceiling::at(time_ms age) const
+{
+    return base + growth_per_s * std::max<std::int64_t>(0, age.count()) / 1000;
+}
+
 spend_ceilings::spend_ceilings(spend_ceilings_options options)
     : options_{options}
     , interval_{options.interval}
@@ -32,16 +39,24 @@
     return ever_sent_ && now - sent_at_ > options_.offline_after;
 }
 
-token_count spend_ceilings::published(std::string_view account) const
+token_count spend_ceilings::publication::bound(std::string_view account, time_ms now) const
 {
-    const auto found = published_.find(account);
-    return found == published_.end() ? 0 : found->second;
+    const auto found = ceilings.find(account);
+    return found == ceilings.end() ? 0 : found->second.at(now - at);
+}
+
+token_count spend_ceilings::bound(std::string_view account, time_ms now) const
+{
+    auto least = acknowledged_.bound(account, now);
+    for (const auto& item : open_) {
+        least = std::min(least, item.bound(account, now));
+    }
+    return least;
 }
 
 bool spend_ceilings::allow(std::string_view account, token_count total, time_ms now)
 {
-    const auto found = published_.find(account);
-    if ((found != published_.end() && total <= found->second) || is_offline(now)) {
+    if (is_offline(now) || total <= bound(account, now)) {
         return true;
     }
     auto& asked = asked_[std::string{account}];
@@ -49,12 +64,18 @@
     return false;
 }
 
-token_count spend_ceilings::wanted(const spend_facts& facts) const
+spend_ceiling spend_ceilings::wanted(const spend_facts& facts) const
 {
-    const auto cover = options_.offline_after + interval_;
-    const auto demand = static_cast<token_count>(demand_margin * facts.demand_per_ms *
-                                                 static_cast<double>(cover.count()));
-    return facts.total + std::min(std::max(demand, facts.spare), facts.most_room);
+    const auto per_second = facts.demand_per_ms * 1000;
+    const auto room = static_cast<token_count>(facts.demand_per_ms *
+                                               static_cast<double>(covered.count()));
+    const auto growth = static_cast<token_count>(growth_margin * per_second);
+    const auto most_growth = facts.most_room >= max_token_count / 1000
+                                 ? max_token_count
+                                 : facts.most_room * growth_in_rooms * 1000 /
+                                       options_.offline_after.count();
+    return {facts.total + std::min(std::max(room, facts.spare), facts.most_room),
+            std::min(std::max(growth, facts.spare), most_growth)};
 }
 
 std::optional<ceiling_map> spend_ceilings::plan(const std::vector<spend_facts>& facts, time_ms now)
@@ -63,38 +84,34 @@
         return std::nullopt;
     }
     bool due = !ever_sent_ || now - sent_at_ >= interval_ || !asked_.empty();
-    auto next = published_;
+    auto next = acknowledged_.ceilings;
     for (const auto& item : facts) {
-        auto& ceiling = next[item.account];
-        const auto goal = wanted(item);
-        const auto room = goal - item.total;
-        due = due || (ceiling - item.total < room / 2 && now - sent_at_ >= interval_ / 4);
-        if (ceiling < goal || ceiling - item.total > lower_at * room) {
-            ceiling = goal;
-        }
+        auto ceiling = wanted(item);
+        const auto room = ceiling.base - item.total;
+        due = due || (bound(item.account, now) - item.total < room / 2 &&
+                      now - sent_at_ >= interval_ / 4);
         if (const auto asked = asked_.find(item.account); asked != asked_.end()) {
-            ceiling = std::max(ceiling, asked->second + room);
+            ceiling.base = std::max(ceiling.base, asked->second + room);
         }
+        next[item.account] = ceiling;
     }
     return due ? std::optional{std::move(next)} : std::nullopt;
 }
 
 void spend_ceilings::sent(const ceiling_map& ceilings, time_ms now)
 {
-    for (auto& [account, ceiling] : published_) {
-        const auto next = ceilings.find(account);
-        ceiling = next == ceilings.end() ? ceiling : std::min(ceiling, next->second);
-    }
+    open_.push_back({ceilings, now});
     in_flight_ = true;
     ever_sent_ = true;
     sent_at_ = now;
     asked_.clear();
 }
 
-void spend_ceilings::acknowledged(const ceiling_map& ceilings)
+void spend_ceilings::acknowledged()
 {
     in_flight_ = false;
-    published_ = ceilings;
+    acknowledged_ = std::move(open_.back());
+    open_.clear();
 }
 
 void spend_ceilings::failed()
--- a/modules/dispatch/spend_ceilings.h
+++ b/modules/dispatch/spend_ceilings.h
@@ -13,8 +13,20 @@
 namespace jujubevalve
 {
 
+/// A bound on spend that rises with the age of its publication. A process that is cut off for a
+/// moment can go on, and one that dies soon after publishing strands little.
+struct spend_ceiling {
+    token_count base{0};         ///< at the time of publication
+    token_count growth_per_s{0}; ///< tokens per second of age
+
+    /// The bound at an age; negative ages count as none.
+    [[nodiscard]] token_count at(time_ms age) const;
+
+    friend bool operator==(const spend_ceiling&, const spend_ceiling&) = default;
+};
+
 /// The most that an incarnation may have spent, by account.
-using ceiling_map = std::map<std::string, token_count, std::less<>>;
+using ceiling_map = std::map<std::string, spend_ceiling, std::less<>>;
 
 /// Settings of spend_ceilings.
 struct spend_ceilings_options {
@@ -29,7 +41,7 @@
 struct spend_facts {
     std::string account;
     token_count total{0}; ///< spent and reserved
-    token_count spare{0}; ///< room to leave even without demand
+    token_count spare{0}; ///< room to leave, and growth in a second, even without demand
     double demand_per_ms{0};
     token_count most_room{max_token_count}; ///< bounds what a death strands
 
@@ -38,7 +50,8 @@
 
 /// Bounds that a process puts on its own spend and publishes ahead of it. If it is killed, its
 /// successor knows that no more than the ceilings can have been spent, and returns the rest of the
-/// grants. Not synchronised.
+/// grants. Writes replace each other in the order in which they are sent: each must be conditional
+/// on the version of the one before it. Not synchronised.
 class spend_ceilings
 {
 public:
@@ -53,12 +66,13 @@
 
     /// A planned write was sent.
     void sent(const ceiling_map& ceilings, time_ms now);
-    /// The write was acknowledged, so its ceilings may be used; or it may not have taken effect.
-    void acknowledged(const ceiling_map& ceilings);
+    /// The write that was sent last was acknowledged: its ceilings alone bind.
+    void acknowledged();
+    /// The write that was sent last failed, or may still take effect: its ceilings bind as well.
     void failed();
 
     /// The ceiling that binds the account; 0 if none is published.
-    [[nodiscard]] token_count published(std::string_view account) const;
+    [[nodiscard]] token_count bound(std::string_view account, time_ms now) const;
 
     /// Whether the ceilings no longer bind.
     [[nodiscard]] bool is_offline(time_ms now) const;
@@ -69,15 +83,24 @@
     [[nodiscard]] const spend_ceilings_options& options() const { return options_; }
 
 private:
-    [[nodiscard]] token_count wanted(const spend_facts& facts) const;
+    /// Ceilings as written at one time.
+    struct publication {
+        ceiling_map ceilings;
+        time_ms at{};
+
+        [[nodiscard]] token_count bound(std::string_view account, time_ms now) const;
+    };
+
+    [[nodiscard]] spend_ceiling wanted(const spend_facts& facts) const;
 
     spend_ceilings_options options_;
     time_ms interval_;
-    ceiling_map published_; ///< in force; lowered ones already when they are sent
-    ceiling_map asked_;     ///< totals that were refused since the last write
+    publication acknowledged_;
+    std::vector<publication> open_; ///< sent later; may be in force or come into force
+    std::map<std::string, token_count, std::less<>> asked_; ///< refused since the last write
     bool in_flight_{false};
-    bool ever_sent_{false};
     time_ms sent_at_{};
+    bool ever_sent_{false};
 };
 
 } // namespace jujubevalve
--- a/modules/dispatch/spend_row.cpp
+++ b/modules/dispatch/spend_row.cpp
@@ -24,10 +24,14 @@
 
 std::string to_text(const spend_row& row)
 {
+    auto ceilings = nlohmann::json::object();
+    for (const auto& [account, ceiling] : row.ceilings) {
+        ceilings[account] = {ceiling.base, ceiling.growth_per_s};
+    }
     return nlohmann::json{{"incarnation", row.incarnation},
                           {"address", row.address},
                           {"stamp_ms", row.stamp.count()},
-                          {"ceilings", row.ceilings}}
+                          {"ceilings", ceilings}}
         .dump();
 }
 
@@ -39,7 +43,10 @@
         row.address = json_fields::text(object, "address");
         row.stamp = time_ms{json_fields::whole_number(object, "stamp_ms", 0,
                                                       std::numeric_limits<std::int64_t>::max())};
-        row.ceilings = object.at("ceilings").get<ceiling_map>();
+        for (const auto& [account, ceiling] : object.at("ceilings").items()) {
+            row.ceilings[account] = {ceiling.at(0).get<token_count>(),
+                                     ceiling.at(1).get<token_count>()};
+        }
         return row;
     });
 }
@@ -59,7 +66,7 @@
     return keys;
 }
 
-result<transaction> plan_reclaim(const spend_row& dead, bool was_bound,
+result<transaction> plan_reclaim(const spend_row& dead, std::optional<time_ms> bound_age,
                                  const std::vector<table_row>& rows)
 {
     transaction change;
@@ -75,7 +82,8 @@
         if (grant_at.version == 0 || closed.closed) {
             continue;
         }
-        const auto kept = was_bound ? std::min(closed.granted, ceiling) : closed.granted;
+        const auto kept =
+            bound_age ? std::min(closed.granted, ceiling.at(*bound_age)) : closed.granted;
         const auto returned = closed.granted - kept;
         closed.granted = kept;
         closed.closed = true;
--- a/modules/dispatch/spend_row.h
+++ b/modules/dispatch/spend_row.h
@@ -4,6 +4,7 @@
 #include "dispatch/spend_ceilings.h"
 #include "storage/table_store.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,9 +36,10 @@
 
 /// The transaction that closes a dead incarnation's grants and returns to the ledgers what it
 /// cannot have spent: all above its ceilings if they still bound it when it died, otherwise
-/// nothing. `rows` are the present rows of the read set. Empty if nothing is left to close. Fails
-/// with `malformed_row`.
-result<transaction> plan_reclaim(const spend_row& dead, bool was_bound,
+/// nothing. `bound_age` is the age of the row at a time at which the process was dead; none if its
+/// ceilings may have ceased to bind by then. `rows` are the present rows of the read set. Empty if
+/// nothing is left to close. Fails with `malformed_row`.
+result<transaction> plan_reclaim(const spend_row& dead, std::optional<time_ms> bound_age,
                                  const std::vector<table_row>& rows);
 
 } // namespace jujubevalve
--- a/modules/dispatch/tests/account_budgets_tests.cpp
+++ b/modules/dispatch/tests/account_budgets_tests.cpp
@@ -79,7 +79,7 @@
         }
         if (const auto plan = budgets.ceilings().plan(budgets.spend(now), now)) {
             budgets.ceilings().sent(*plan, now);
-            budgets.ceilings().acknowledged(*plan);
+            budgets.ceilings().acknowledged();
         }
     }
 
--- a/modules/dispatch/tests/spend_tests.cpp
+++ b/modules/dispatch/tests/spend_tests.cpp
@@ -20,7 +20,7 @@
         const auto plan = ceilings.plan(facts, now);
         CHECK(plan.has_value());
         ceilings.sent(*plan, now);
-        ceilings.acknowledged(*plan);
+        ceilings.acknowledged();
     }
 };
 
@@ -31,15 +31,50 @@
     const auto plan = ceilings.plan({{"crew", 0, 100, 0}}, now);
     ceilings.sent(*plan, now);
     CHECK_FALSE(ceilings.allow("crew", 100, now));
-    ceilings.acknowledged(*plan);
+    ceilings.acknowledged();
     CHECK(ceilings.allow("crew", 100, now));
     CHECK_FALSE(ceilings.allow("crew", 1'000, now));
 }
 
+// Guards against refusing callers at the beginning of an outage, before the ceilings cease to bind.
 TEST(spend_ceilings, leave_room_for_the_demand_of_an_outage)
 {
     publish({{"crew", 1000, 10, 2.0}});
-    CHECK(ceilings.allow("crew", 1000 + 2 * 3000, now));
+    for (int ms = 0; ms <= 3000; ms += 10) {
+        CHECK(ceilings.allow("crew", 1000 + 2 * ms, now + time_ms{ms}));
+    }
+}
+
+// Guards against stranding tokens of many seconds when all processes are killed at once.
+TEST(spend_ceilings, room_right_after_a_write_is_small)
+{
+    publish({{"crew", 1000, 10, 2.0}});
+    CHECK_EQUAL(1000 + 2 * 1000, ceilings.bound("crew", now));
+    CHECK_EQUAL(1000 + 2 * 1000 + 4 * 500, ceilings.bound("crew", now + time_ms{500}));
+}
+
+// Guards against stranding more than the given part of the rest.
+TEST(spend_ceilings, most_room_bounds_base_and_growth)
+{
+    publish({{"crew", 1000, 10, 2.0, 300}});
+    CHECK_EQUAL(1300, ceilings.bound("crew", now));
+    CHECK_EQUAL(1300 + 4 * 300, ceilings.bound("crew", now + time_ms{3000}));
+}
+
+// Guards against overspend when a successor finds the older or the newer of two rows.
+TEST(spend_ceilings, an_unanswered_write_binds_beside_the_acknowledged_one)
+{
+    publish({{"crew", 0, 500, 0}});
+    now = now + time_ms{1000};
+    const auto lower = ceilings.plan({{"crew", 100, 10, 0}}, now);
+    ceilings.sent(*lower, now);
+    ceilings.failed();
+    CHECK_EQUAL(110, ceilings.bound("crew", now));
+    const auto higher = ceilings.plan({{"crew", 100, 2000, 0}}, now + time_ms{500});
+    ceilings.sent(*higher, now + time_ms{500});
+    CHECK(ceilings.bound("crew", now + time_ms{500}) <= 115);
+    ceilings.acknowledged();
+    CHECK_EQUAL(2100, ceilings.bound("crew", now + time_ms{500}));
 }
 
 // Guards against refusing everyone in a long outage of the store.
@@ -74,17 +109,17 @@
 TEST(spend_ceilings, are_lowered_when_demand_ceases)
 {
     publish({{"crew", 0, 10, 5.0}});
-    CHECK(ceilings.allow("crew", 10'000, now));
     now = now + seconds(1);
+    CHECK(ceilings.allow("crew", 10'000, now));
     const auto plan = ceilings.plan({{"crew", 2'000, 0, 0}}, now);
-    CHECK_EQUAL(2'000, plan->at("crew"));
+    CHECK(plan->at("crew") == (spend_ceiling{2'000, 0}));
     ceilings.sent(*plan, now);
     CHECK_FALSE(ceilings.allow("crew", 10'000, now));
 }
 
 TEST_GROUP(reclaim)
 {
-    spend_row dead{"i-1", "127.0.0.1:80", time_ms{5000}, {{"crew", 300}}};
+    spend_row dead{"i-1", "127.0.0.1:80", time_ms{5000}, {{"crew", {200, 100}}}};
 
     static std::vector<table_row> rows(bool closed = false)
     {
@@ -98,7 +133,7 @@
 
 TEST(reclaim, returns_what_is_above_the_ceiling)
 {
-    const auto change = plan_reclaim(dead, true, rows());
+    const auto change = plan_reclaim(dead, seconds(1), rows());
     CHECK(change.has_value());
     CHECK_EQUAL(2U, change->conditions.size());
     CHECK_EQUAL(300, parse_grant_row(change->writes[0].value)->granted);
@@ -109,7 +144,7 @@
 // Guards against returning tokens that were spent while the store was out of reach.
 TEST(reclaim, charges_everything_if_the_ceilings_may_not_have_bound)
 {
-    const auto change = plan_reclaim(dead, false, rows());
+    const auto change = plan_reclaim(dead, std::nullopt, rows());
     CHECK_EQUAL(1U, change->writes.size());
     CHECK_EQUAL(1000, parse_grant_row(change->writes[0].value)->granted);
 }
@@ -117,7 +152,7 @@
 // Guards against returning the same tokens twice.
 TEST(reclaim, leaves_closed_grants_alone)
 {
-    const auto change = plan_reclaim(dead, true, rows(true));
+    const auto change = plan_reclaim(dead, seconds(1), rows(true));
     CHECK(change->writes.empty());
 }
 
--- a/modules/gateway/grant_service.cpp
+++ b/modules/gateway/grant_service.cpp
@@ -106,7 +106,7 @@
                    .add("reserved", facts.reserved)
                    .add("free", facts.free)
                    .add("demand_per_s", static_cast<std::int64_t>(facts.demand_per_ms * 1000))
-                   .add("room_below_ceiling", budgets_.room_below_ceiling(account))
+                   .add("room_below_ceiling", budgets_.room_below_ceiling(account, now))
                    .add("ceilings_bind", static_cast<int>(!budgets_.ceilings().is_offline(now)))
                    .add("store_reachable", static_cast<int>(store_reachable_)),
                now);
@@ -171,16 +171,23 @@
     }
     const spend_row row{incarnation_, address_, *store_time, *ceilings};
     budgets_.ceilings().sent(*ceilings, now);
-    store_.commit({{}, {{own_spend_key(), to_text(row)}}, {}},
-                  [this, ceilings = *ceilings](const store_commit& done) {
-                      ceilings_unanswered_ = done.outcome.outcome != commit_outcome::committed;
-                      if (ceilings_unanswered_) {
-                          budgets_.ceilings().failed();
-                      } else {
-                          budgets_.ceilings().acknowledged(ceilings);
-                      }
-                      schedule_run(time_ms{0});
-                  });
+    // An earlier write whose answer was lost must not take effect after this one.
+    store_.commit(
+        {{{own_spend_key(), spend_row_version_}}, {{own_spend_key(), to_text(row)}}, {}},
+        [this](const store_commit& done) {
+            const bool is_committed = done.outcome.outcome == commit_outcome::committed;
+            ceilings_unanswered_ = !is_committed;
+            if (is_committed) {
+                spend_row_version_ = done.outcome.versions.at(0);
+                budgets_.ceilings().acknowledged();
+            } else {
+                for (const auto& present : done.current) {
+                    spend_row_version_ = present.version;
+                }
+                budgets_.ceilings().failed();
+            }
+            schedule_run(time_ms{0});
+        });
 }
 
 void grant_service::recover()
@@ -197,25 +204,25 @@
             if (!dead || dead->incarnation == incarnation_ || dead->address != address_) {
                 continue;
             }
-            const bool was_bound =
-                page->store_time - dead->stamp < budgets_.ceilings().options().offline_after;
+            const auto age = page->store_time - dead->stamp;
+            const bool was_bound = age < budgets_.ceilings().options().offline_after;
             log_.write("predecessor",
                        log_fields{}
                            .add("incarnation", dead->incarnation)
-                           .add("age_ms", page->store_time - dead->stamp)
+                           .add("age_ms", age)
                            .add("bound", static_cast<int>(was_bound)),
                        loop_.now());
             // One account at a time, since others change the ledgers meanwhile; then the row.
             for (const auto& [account, ceiling] : dead->ceilings) {
                 auto one = *dead;
                 one.ceilings = {{account, ceiling}};
-                reclaim(one, was_bound, 0, {});
+                reclaim(one, was_bound ? std::optional{age} : std::nullopt, 0, {});
             }
         }
     });
 }
 
-void grant_service::reclaim(const spend_row& dead, bool was_bound, int attempt,
+void grant_service::reclaim(const spend_row& dead, std::optional<time_ms> bound_age, int attempt,
                             const std::vector<table_row>& rows)
 {
     constexpr int most_attempts = 100;
@@ -235,7 +242,7 @@
             change.conditions.push_back({name, 0});
         }
     } else {
-        auto planned = plan_reclaim(dead, was_bound, rows);
+        auto planned = plan_reclaim(dead, bound_age, rows);
         if (!planned) {
             log_.write("reclaim_given_up", log_fields{}.add("why", planned.why().message),
                        loop_.now());
@@ -259,7 +266,7 @@
             known.push_back(row);
         }
         loop_.schedule(
-            pause, [=, this] { reclaim(dead, was_bound, known.empty() ? 0 : attempt + 1, known); });
+            pause, [=, this] { reclaim(dead, bound_age, known.empty() ? 0 : attempt + 1, known); });
     });
 }
 
--- a/modules/gateway/grant_service.h
+++ b/modules/gateway/grant_service.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <list>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -100,7 +101,8 @@
     };
 
     void publish_ceilings();
-    void reclaim(const spend_row& dead, bool was_bound, int attempt,
+    /// `bound_age`: as in plan_reclaim().
+    void reclaim(const spend_row& dead, std::optional<time_ms> bound_age, int attempt,
                  const std::vector<table_row>& rows);
     void send(const grant_write& write);
     void read_ledger(const std::string& account);
@@ -122,6 +124,7 @@
     std::int64_t instances_{1};
     int in_flight_{0};
     bool ceilings_unanswered_{false};
+    std::int64_t spend_row_version_{0}; ///< of the own row; 0 before the first write
     bool store_reachable_{false};
     timer_id timer_{0};
 };
