Grants: estimate demand from the first second of traffic

Cause: demand counted as spread over at least 10 s, so that a store that is cut off in the first seconds found stocks for a fifth of the demand.

--- a/modules/budget/grant_book.cpp
+++ b/modules/budget/grant_book.cpp
@@ -76,7 +76,7 @@
     }
     auto& made = entries_.try_emplace(std::string{budget}).first->second;
     made.last_use = now;
-    made.demand = demand_rate{timing_.demand_window};
+    made.demand = demand_rate{timing_.demand_window, timing_.demand_least_age};
     const auto dropped = dropped_spent_.find(hash64(budget));
     if (dropped != dropped_spent_.end()) {
         // Dropped with nothing available, so the row holds exactly what was spent.
--- a/modules/budget/grant_book.h
+++ b/modules/budget/grant_book.h
@@ -102,6 +102,7 @@
     time_ms exhausted_retry{seconds(1)}; ///< between looks at a ledger with nothing free
     time_ms hint_interval{seconds(10)};  ///< between returns because others lack tokens
     time_ms demand_window{minutes(5)};   ///< time constant of the demand's moving average
+    time_ms demand_least_age{seconds(10)}; ///< demand counts as spread over at least this time
     time_ms idle_after{minutes(70)};     ///< a budget unused for this long is returned and dropped
     std::size_t batch_size{64};          ///< budgets in one transaction
 };
--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -84,6 +84,8 @@
     account_budget_options options;
     options.policy.horizon = settings.grant_horizon;
     options.timing.demand_window = settings.grant_horizon;
+    // An outage may come in the first seconds of traffic.
+    options.timing.demand_least_age = seconds(1);
     options.timing.check_interval = seconds(2);
     // A conflict brings the present rows, so the next attempt is likely to succeed.
     options.timing.retry_first = time_ms{8};
