Ceilings rise to the whole stock instead of ceasing to bind

Cause: a process that died in an outage of the store was charged its whole grant, since its ceilings had ceased to bind 2.5 s after the last write. They now go on rising, faster after 2.5 s, so that the charge grows with the time without a write. Requests wait for tokens up to half of their objective, also for a ceiling to rise. Calls and reclaims log what was charged.

--- a/modules/dispatch/account_budgets.cpp
+++ b/modules/dispatch/account_budgets.cpp
@@ -20,6 +20,9 @@
 /// Age at which a remembered ledger is read again before a refusal.
 constexpr time_ms ledger_max_age{400};
 
+/// A request may wait so long for its ceiling to rise; about half of the tightest objective of a
+/// stream.
+constexpr time_ms ceiling_wait{300};
 /// Requests that must be free of a budget for a ceiling to leave room for one without demand.
 constexpr std::int64_t plenty_requests = 150;
 /// The death of all instances strands at most this part of what is left of a budget.
@@ -68,7 +71,8 @@
     // Asked in any case, so that the ceiling is raised while the grant is refilled.
     const bool allowed = ceilings_.allow(account, total, now);
     if (book_.available(account) >= tokens && !allowed) {
-        return {0, result_code::budget_unavailable, store_reachable_};
+        const bool rises = total <= ceilings_.bound(account, now + ceiling_wait);
+        return {0, result_code::budget_unavailable, store_reachable_ || rises};
     }
     return book_.reserve(account, tokens, now);
 }
@@ -209,7 +213,8 @@
         found.push_back({account, book_.spent(account) + book_.reserved(account),
                          plenty ? facts.request : 0, facts.demand_per_ms,
                          std::max(policy_.share_of_rest(facts) / stranded_divisor,
-                                  plenty ? facts.request : 0)});
+                                  plenty ? facts.request : 0),
+                         facts.available});
     }
     return found;
 }
--- a/modules/dispatch/spend_ceilings.cpp
+++ b/modules/dispatch/spend_ceilings.cpp
@@ -10,17 +10,22 @@
 {
 /// Time of the fleet for each instance's write: at most 125 a second are spent on ceilings.
 constexpr time_ms write_spacing{8};
-/// Demand for which there is room at the time of publication: two intervals and a slow answer.
+/// Demand for which there is room at the time of publication: an interval and a slow answer.
 constexpr time_ms covered{1000};
-/// Growth in multiples of the demand, which varies around its average in a few seconds.
+/// Growth in multiples of the demand, to make up for the time without growth.
 constexpr double growth_margin = 2;
-/// Growth over the whole time in which ceilings bind, in multiples of the most room.
+/// Growth in multiples of the most room, over the time until it becomes faster.
 constexpr std::int64_t growth_in_rooms = 4;
+/// Time of faster growth after which the whole stock may be spent.
+constexpr std::int64_t late_growth_s = 5;
 } // namespace
 
 token_count spend_ceiling::at(time_ms age) const
 {
-    return base + growth_per_s * std::max<std::int64_t>(0, age.count()) / 1000;
+    const auto grown = [age](token_count per_s, time_ms after) {
+        return per_s * std::max<std::int64_t>(0, (age - after).count()) / 1000;
+    };
+    return base + grown(growth_per_s, rises_after) + grown(late_growth_per_s, rises_faster_after);
 }
 
 spend_ceilings::spend_ceilings(spend_ceilings_options options)
@@ -34,29 +39,24 @@
     interval_ = std::max(options_.interval, write_spacing * instances);
 }
 
-bool spend_ceilings::is_offline(time_ms now) const
-{
-    return ever_sent_ && now - sent_at_ > options_.offline_after;
-}
-
-token_count spend_ceilings::publication::bound(std::string_view account, time_ms now) const
+token_count spend_ceilings::publication::bound(std::string_view account, time_ms then) const
 {
     const auto found = ceilings.find(account);
-    return found == ceilings.end() ? 0 : found->second.at(now - at);
+    return found == ceilings.end() ? max_token_count : found->second.at(then - at);
 }
 
-token_count spend_ceilings::bound(std::string_view account, time_ms now) const
+token_count spend_ceilings::bound(std::string_view account, time_ms then) const
 {
-    auto least = acknowledged_.bound(account, now);
+    auto least = acknowledged_.bound(account, then);
     for (const auto& item : open_) {
-        least = std::min(least, item.bound(account, now));
+        least = std::min(least, item.bound(account, then));
     }
     return least;
 }
 
 bool spend_ceilings::allow(std::string_view account, token_count total, time_ms now)
 {
-    if (is_offline(now) || total <= bound(account, now)) {
+    if (total <= bound(account, now)) {
         return true;
     }
     auto& asked = asked_[std::string{account}];
@@ -66,16 +66,17 @@
 
 spend_ceiling spend_ceilings::wanted(const spend_facts& facts) const
 {
-    const auto per_second = facts.demand_per_ms * 1000;
-    const auto room = static_cast<token_count>(facts.demand_per_ms *
-                                               static_cast<double>(covered.count()));
-    const auto growth = static_cast<token_count>(growth_margin * per_second);
-    const auto most_growth = facts.most_room >= max_token_count / 1000
-                                 ? max_token_count
-                                 : facts.most_room * growth_in_rooms * 1000 /
-                                       options_.offline_after.count();
-    return {facts.total + std::min(std::max(room, facts.spare), facts.most_room),
-            std::min(std::max(growth, facts.spare), most_growth)};
+    const auto demand_in = [&facts](time_ms time) {
+        return static_cast<token_count>(facts.demand_per_ms * static_cast<double>(time.count()));
+    };
+    const auto growth = std::max(
+        static_cast<token_count>(growth_margin * static_cast<double>(demand_in(seconds(1)))),
+        facts.spare);
+    const auto most_growth =
+        facts.most_room * growth_in_rooms / spend_ceiling::rises_faster_after.count() * 1000;
+    return {facts.total + std::min(std::max(demand_in(covered), facts.spare), facts.most_room),
+            std::min(growth, most_growth),
+            std::max<token_count>(0, facts.stock) / late_growth_s};
 }
 
 std::optional<ceiling_map> spend_ceilings::plan(const std::vector<spend_facts>& facts, time_ms now)
--- a/modules/dispatch/spend_ceilings.h
+++ b/modules/dispatch/spend_ceilings.h
@@ -13,11 +13,17 @@
 namespace jujubevalve
 {
 
-/// A bound on spend that rises with the age of its publication. A process that is cut off for a
-/// moment can go on, and one that dies soon after publishing strands little.
+/// A bound on spend that rises with the age of its publication: a process that is cut off from the
+/// store can go on, and one that dies strands the less the sooner its successor starts.
 struct spend_ceiling {
-    token_count base{0};         ///< at the time of publication
-    token_count growth_per_s{0}; ///< tokens per second of age
+    /// Age up to which the bound is `base`. Older than the next write as long as the store answers.
+    static constexpr time_ms rises_after{0};
+    /// Age from which `late_growth_per_s` is added; outages of the store last longer than this.
+    static constexpr time_ms rises_faster_after{2500};
+
+    token_count base{0};
+    token_count growth_per_s{0};      ///< tokens per second of age beyond `rises_after`
+    token_count late_growth_per_s{0}; ///< tokens per second of age beyond `rises_faster_after`
 
     /// The bound at an age; negative ages count as none.
     [[nodiscard]] token_count at(time_ms age) const;
@@ -30,11 +36,8 @@
 
 /// Settings of spend_ceilings.
 struct spend_ceilings_options {
-    /// After this time without a write the ceilings no longer bind, so that callers are served in
-    /// an outage of the store; a successor that starts later than this must charge whole grants.
-    time_ms offline_after{2500};
     /// Interval of writes while there is demand; the stamp is as old as this at most.
-    time_ms interval{400};
+    time_ms interval{200};
 };
 
 /// Present spend and demand of one account.
@@ -44,6 +47,7 @@
     token_count spare{0}; ///< room to leave, and growth in a second, even without demand
     double demand_per_ms{0};
     token_count most_room{max_token_count}; ///< bounds what a death strands
+    token_count stock{0};                   ///< available beyond the total
 
     friend bool operator==(const spend_facts&, const spend_facts&) = default;
 };
@@ -51,7 +55,8 @@
 /// Bounds that a process puts on its own spend and publishes ahead of it. If it is killed, its
 /// successor knows that no more than the ceilings can have been spent, and returns the rest of the
 /// grants. Writes replace each other in the order in which they are sent: each must be conditional
-/// on the version of the one before it. Not synchronised.
+/// on the version of the one before it. An account that was never published is not bound, as
+/// nobody reclaims its grants. Not synchronised.
 class spend_ceilings
 {
 public:
@@ -71,24 +76,20 @@
     /// The write that was sent last failed, or may still take effect: its ceilings bind as well.
     void failed();
 
-    /// The ceiling that binds the account; 0 if none is published.
-    [[nodiscard]] token_count bound(std::string_view account, time_ms now) const;
-
-    /// Whether the ceilings no longer bind.
-    [[nodiscard]] bool is_offline(time_ms now) const;
+    /// The most that the account's total may be at a time without a further write;
+    /// `max_token_count` if it is not bound.
+    [[nodiscard]] token_count bound(std::string_view account, time_ms then) const;
 
     /// Fleet size: with many instances each writes less often.
     void set_instances(std::int64_t instances);
 
-    [[nodiscard]] const spend_ceilings_options& options() const { return options_; }
-
 private:
     /// Ceilings as written at one time.
     struct publication {
         ceiling_map ceilings;
         time_ms at{};
 
-        [[nodiscard]] token_count bound(std::string_view account, time_ms now) const;
+        [[nodiscard]] token_count bound(std::string_view account, time_ms then) const;
     };
 
     [[nodiscard]] spend_ceiling wanted(const spend_facts& facts) const;
--- a/modules/dispatch/spend_row.cpp
+++ b/modules/dispatch/spend_row.cpp
@@ -26,7 +26,7 @@
 {
     auto ceilings = nlohmann::json::object();
     for (const auto& [account, ceiling] : row.ceilings) {
-        ceilings[account] = {ceiling.base, ceiling.growth_per_s};
+        ceilings[account] = {ceiling.base, ceiling.growth_per_s, ceiling.late_growth_per_s};
     }
     return nlohmann::json{{"incarnation", row.incarnation},
                           {"address", row.address},
@@ -45,7 +45,8 @@
                                                       std::numeric_limits<std::int64_t>::max())};
         for (const auto& [account, ceiling] : object.at("ceilings").items()) {
             row.ceilings[account] = {ceiling.at(0).get<token_count>(),
-                                     ceiling.at(1).get<token_count>()};
+                                     ceiling.at(1).get<token_count>(),
+                                     ceiling.at(2).get<token_count>()};
         }
         return row;
     });
@@ -66,7 +67,7 @@
     return keys;
 }
 
-result<transaction> plan_reclaim(const spend_row& dead, std::optional<time_ms> bound_age,
+result<transaction> plan_reclaim(const spend_row& dead, time_ms age,
                                  const std::vector<table_row>& rows)
 {
     transaction change;
@@ -82,8 +83,7 @@
         if (grant_at.version == 0 || closed.closed) {
             continue;
         }
-        const auto kept =
-            bound_age ? std::min(closed.granted, ceiling.at(*bound_age)) : closed.granted;
+        const auto kept = std::min(closed.granted, ceiling.at(age));
         const auto returned = closed.granted - kept;
         closed.granted = kept;
         closed.closed = true;
--- a/modules/dispatch/spend_row.h
+++ b/modules/dispatch/spend_row.h
@@ -4,7 +4,6 @@
 #include "dispatch/spend_ceilings.h"
 #include "storage/table_store.h"
 
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,11 +34,10 @@
 std::vector<std::string> reclaim_read_set(const spend_row& dead);
 
 /// The transaction that closes a dead incarnation's grants and returns to the ledgers what it
-/// cannot have spent: all above its ceilings if they still bound it when it died, otherwise
-/// nothing. `bound_age` is the age of the row at a time at which the process was dead; none if its
-/// ceilings may have ceased to bind by then. `rows` are the present rows of the read set. Empty if
-/// nothing is left to close. Fails with `malformed_row`.
-result<transaction> plan_reclaim(const spend_row& dead, std::optional<time_ms> bound_age,
+/// cannot have spent. `age` is that of the row at a time at which the process was dead. `rows` are
+/// the present rows of the read set. Empty if nothing is left to close. Fails with
+/// `malformed_row`.
+result<transaction> plan_reclaim(const spend_row& dead, time_ms age,
                                  const std::vector<table_row>& rows);
 
 } // namespace jujubevalve
--- a/modules/gateway/call.cpp
+++ b/modules/gateway/call.cpp
@@ -19,7 +19,7 @@
 /// Longest wait for tokens from the store; a few conditional writes.
 constexpr time_ms grant_wait{400};
 /// A wait for tokens may take this part of the objective.
-constexpr std::int64_t waits_in_objective = 6;
+constexpr std::int64_t waits_in_objective = 2;
 /// A request that must not run twice is not sent on a connection that was idle for longer, as the
 /// server may be closing it.
 constexpr time_ms fresh_connection{1000};
@@ -359,6 +359,7 @@
         .add("config", config_ ? config_->version() : 0)
         .add("route", route_ != nullptr ? std::string_view{route_->name} : std::string_view{})
         .add("account", account_)
+        .add("charged", charged_)
         .add("servers", tried_.empty() ? std::string_view{} : std::string_view{tried_.back()})
         .add("store_reachable", static_cast<int>(context_.view.is_reachable()));
     context_.log.write("call", fields, now);
@@ -379,12 +380,14 @@
     const bool complete = ended_ && in_stream_ && !events_.has_partial() && head_forwarded_;
     if (!complete || service == nullptr || !service->engine) {
         // What a server has delivered to a broken connection is not known.
+        charged_ = generation.most();
         context_.grants.settle_in_full(id);
         return;
     }
     const auto delivered =
         std::min(generation.max_output_tokens, events_sent_ * service->engine->tokens_per_event);
-    context_.grants.settle(id, generation.prompt_tokens + delivered);
+    charged_ = generation.prompt_tokens + delivered;
+    context_.grants.settle(id, charged_);
 }
 
 time_ms call::time_left() const
--- a/modules/gateway/call.h
+++ b/modules/gateway/call.h
@@ -94,6 +94,7 @@
     std::optional<int> priority_;
     std::string service_;
     reservation_id reservation_{0};
+    token_count charged_{0}; ///< tokens taken from the prepaid budget
     std::uint64_t grant_waiter_{0};
 
     run_state state_{run_state::not_run};
--- a/modules/gateway/grant_service.cpp
+++ b/modules/gateway/grant_service.cpp
@@ -1,5 +1,6 @@
 #include "gateway/grant_service.h"
 
+#include "budget/grant_row.h"
 #include "core/digest.h"
 
 #include <utility>
@@ -107,7 +108,6 @@
                    .add("free", facts.free)
                    .add("demand_per_s", static_cast<std::int64_t>(facts.demand_per_ms * 1000))
                    .add("room_below_ceiling", budgets_.room_below_ceiling(account, now))
-                   .add("ceilings_bind", static_cast<int>(!budgets_.ceilings().is_offline(now)))
                    .add("store_reachable", static_cast<int>(store_reachable_)),
                now);
 }
@@ -205,24 +205,20 @@
                 continue;
             }
             const auto age = page->store_time - dead->stamp;
-            const bool was_bound = age < budgets_.ceilings().options().offline_after;
             log_.write("predecessor",
-                       log_fields{}
-                           .add("incarnation", dead->incarnation)
-                           .add("age_ms", age)
-                           .add("bound", static_cast<int>(was_bound)),
+                       log_fields{}.add("incarnation", dead->incarnation).add("age_ms", age),
                        loop_.now());
             // One account at a time, since others change the ledgers meanwhile; then the row.
             for (const auto& [account, ceiling] : dead->ceilings) {
                 auto one = *dead;
                 one.ceilings = {{account, ceiling}};
-                reclaim(one, was_bound ? std::optional{age} : std::nullopt, 0, {});
+                reclaim(one, age, 0, {});
             }
         }
     });
 }
 
-void grant_service::reclaim(const spend_row& dead, std::optional<time_ms> bound_age, int attempt,
+void grant_service::reclaim(const spend_row& dead, time_ms age, int attempt,
                             const std::vector<table_row>& rows)
 {
     constexpr int most_attempts = 100;
@@ -242,7 +238,7 @@
             change.conditions.push_back({name, 0});
         }
     } else {
-        auto planned = plan_reclaim(dead, bound_age, rows);
+        auto planned = plan_reclaim(dead, age, rows);
         if (!planned) {
             log_.write("reclaim_given_up", log_fields{}.add("why", planned.why().message),
                        loop_.now());
@@ -253,11 +249,14 @@
     const bool last = attempt > 0;
     store_.commit(change, [=, this](const store_commit& done) {
         if (done.outcome.outcome == commit_outcome::committed && last) {
-            log_.write("reclaimed",
-                       log_fields{}
-                           .add("incarnation", dead.incarnation)
-                           .add("account", dead.ceilings.begin()->first),
-                       loop_.now());
+            log_fields fields;
+            fields.add("incarnation", dead.incarnation)
+                .add("account", dead.ceilings.begin()->first);
+            if (!change.writes.empty()) {
+                const auto closed = parse_grant_row(change.writes.front().value);
+                fields.add("charged", closed ? closed->granted : 0);
+            }
+            log_.write("reclaimed", fields, loop_.now());
             return;
         }
         auto known = rows;
@@ -266,7 +265,7 @@
             known.push_back(row);
         }
         loop_.schedule(
-            pause, [=, this] { reclaim(dead, bound_age, known.empty() ? 0 : attempt + 1, known); });
+            pause, [=, this] { reclaim(dead, age, known.empty() ? 0 : attempt + 1, known); });
     });
 }
 
--- a/modules/gateway/grant_service.h
+++ b/modules/gateway/grant_service.h
@@ -11,7 +11,6 @@
 #include <functional>
 #include <list>
 #include <map>
-#include <optional>
 #include <random>
 #include <string>
 
@@ -101,8 +100,8 @@
     };
 
     void publish_ceilings();
-    /// `bound_age`: as in plan_reclaim().
-    void reclaim(const spend_row& dead, std::optional<time_ms> bound_age, int attempt,
+    /// `age`: as in plan_reclaim().
+    void reclaim(const spend_row& dead, time_ms age, int attempt,
                  const std::vector<table_row>& rows);
     void send(const grant_write& write);
     void read_ledger(const std::string& account);
