--- /dev/null
+++ b/modules/gateway/abandoned_runs.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "gateway/decision_log.h"
+#include "gateway/grant_service.h"
+#include "net/event_loop.h"
+#include "net/http_exchange.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace jujubevalve
+{
+
+/// A request whose caller left before the first event of its answer.
+struct abandoned_request {
+    std::string id;
+    reservation_id reservation{0};
+    token_count charge{0}; ///< of a request that has run
+};
+
+/// Finds out whether servers had begun with requests that callers gave up. The sending side of the
+/// connection is closed, so that the server drops the request; if it then closes its side in order
+/// without a byte, the request has not run and costs nothing. In any other case it is charged.
+class abandoned_runs
+{
+public:
+    abandoned_runs(event_loop& loop, grant_service& grants, decision_log& log);
+    ~abandoned_runs();
+    abandoned_runs(const abandoned_runs&) = delete;
+    abandoned_runs& operator=(const abandoned_runs&) = delete;
+
+    /// Takes over the connection that the request was sent on, and the reservation.
+    void add(std::unique_ptr<http_exchange> connection, abandoned_request request);
+
+private:
+    class run;
+
+    void end(std::uint64_t id, bool has_run);
+
+    event_loop& loop_;
+    grant_service& grants_;
+    decision_log& log_;
+    std::unordered_map<std::uint64_t, std::unique_ptr<run>> runs_;
+    std::uint64_t last_id_{0};
+};
+
+} // namespace jujubevalve
--- a/modules/gateway/call.cpp
+++ b/modules/gateway/call.cpp
@@ -330,7 +330,11 @@
     if (ended_) {
         return;
     }
-    if (connection_) {
+    if (connection_ && reservation_ != 0 && state_ == run_state::sent && attempts_ == 1) {
+        context_.abandoned.add(std::move(connection_), {request_.id,
+                                                        std::exchange(reservation_, 0),
+                                                        used_tokens()});
+    } else if (connection_) {
         connection_->abandon();
     }
     leave_server(server_verdict::neutral);
@@ -378,20 +382,23 @@
         context_.grants.release(id);
         return;
     }
+    charged_ = used_tokens();
+    context_.grants.settle(id, charged_);
+}
+
+token_count call::used_tokens() const
+{
     const auto* const service = config_->find_service(service_);
     const auto& generation = *request_.generation;
     if (service == nullptr || !service->engine) {
-        charged_ = generation.most();
-        context_.grants.settle_in_full(id);
-        return;
+        return generation.most();
     }
     // Output counts as far as it was delivered to the caller. A server may have sent a little more
     // before it saw that a stream was broken off.
     const auto events = events_sent_ + (stream_complete_ ? 0 : unseen_events);
     const auto delivered =
         std::min(generation.max_output_tokens, events * service->engine->tokens_per_event);
-    charged_ = generation.prompt_tokens + delivered;
-    context_.grants.settle(id, charged_);
+    return generation.prompt_tokens + delivered;
 }
 
 time_ms call::time_left() const
--- a/modules/gateway/call.h
+++ b/modules/gateway/call.h
@@ -76,6 +76,8 @@
     void fail_call(std::string_view why);
     void end(std::string_view outcome, int status);
     void settle();
+    /// Tokens that the request has used as far as known, and what its server may have sent besides.
+    [[nodiscard]] token_count used_tokens() const;
     [[nodiscard]] time_ms time_left() const;
     [[nodiscard]] time_ms pause_before_return();
     [[nodiscard]] time_ms pause_before_other_instance();
--- a/modules/gateway/call_context.h
+++ b/modules/gateway/call_context.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/fleet_retry_budget.h"
 #include "dispatch/server_choice.h"
+#include "gateway/abandoned_runs.h"
 #include "gateway/decision_log.h"
 #include "gateway/fleet_view.h"
 #include "gateway/gateway_metrics.h"
@@ -26,6 +27,7 @@
     fleet_view& view;
     grant_service& grants;
     server_connections& connections;
+    abandoned_runs& abandoned;
     server_choice& choice;
     std::minstd_rand random;
     std::map<std::string, fleet_retry_budget, std::less<>> retry_budgets; ///< by service
--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -129,6 +129,7 @@
                   budget_options(settings_),
                   settings_.store_writes_per_s}
         , connections_{loop_}
+        , abandoned_{loop_, grants_, log_}
         , choice_{choice_options(settings_), hash64(incarnation_)}
         , context_{loop_,
                    settings_,
@@ -137,6 +138,7 @@
                    view_,
                    grants_,
                    connections_,
+                   abandoned_,
                    choice_,
                    std::minstd_rand{
                        static_cast<std::minstd_rand::result_type>(hash64(incarnation_))},
@@ -354,6 +356,7 @@
     fleet_view view_;
     grant_service grants_;
     server_connections connections_;
+    abandoned_runs abandoned_;
     server_choice choice_;
     call_context context_;
     front_server callers_;
--- a/modules/gateway/grant_service.cpp
+++ b/modules/gateway/grant_service.cpp
@@ -82,12 +82,6 @@
     schedule_run(time_ms{0});
 }
 
-void grant_service::settle_in_full(reservation_id id)
-{
-    budgets_.settle_in_full(id, loop_.now());
-    schedule_run(time_ms{0});
-}
-
 void grant_service::release(reservation_id id)
 {
     budgets_.release(id);
--- a/modules/gateway/grant_service.h
+++ b/modules/gateway/grant_service.h
@@ -47,7 +47,6 @@
     void cancel(std::uint64_t waiter);
 
     void settle(reservation_id id, token_count used);
-    void settle_in_full(reservation_id id);
     void release(reservation_id id);
 
     [[nodiscard]] account_demand largest_demand(std::size_t most) const
--- a/modules/net/http_exchange.cpp
+++ b/modules/net/http_exchange.cpp
@@ -67,6 +67,16 @@
     stream_.write(request);
 }
 
+bool http_exchange::stop_sending(exchange_listener& listener)
+{
+    if (accepted_ || reader_.in_message() || !stream_.stop_sending()) {
+        return false;
+    }
+    listener_ = &listener;
+    reusable_ = false;
+    return true;
+}
+
 void http_exchange::abandon()
 {
     listener_ = nullptr;
@@ -154,6 +164,7 @@
 void http_exchange::on_ended(stream_end how)
 {
     reusable_ = false;
+    closed_in_order_ = how == stream_end::closed;
     if (listener_ == nullptr) {
         return;
     }
--- a/modules/net/http_exchange.h
+++ b/modules/net/http_exchange.h
@@ -55,6 +55,13 @@
     /// Sends a complete request. Only while is_reusable().
     void send(std::string_view request, bool head_only, exchange_listener& listener);
 
+    /// Closes the sending side of the connection; what still comes goes to the new listener. Fails
+    /// without effect unless the request has been sent in full and no response has begun.
+    bool stop_sending(exchange_listener& listener);
+
+    /// Whether the peer has closed the connection in order, not with a reset.
+    [[nodiscard]] bool closed_in_order() const { return closed_in_order_; }
+
     /// Forgets the listener and closes the connection.
     void abandon();
 
@@ -89,6 +96,7 @@
     bool accepted_{false};
     bool reusable_{true};
     bool head_only_{false};
+    bool closed_in_order_{false};
     int uses_{0};
     time_ms idle_since_;
     time_ms idle_limit_{};
--- a/modules/net/tcp_stream.cpp
+++ b/modules/net/tcp_stream.cpp
@@ -182,6 +182,12 @@
     close();
 }
 
+bool tcp_stream::stop_sending()
+{
+    return is_open() && connected_ && pending() == 0 &&
+           ACE_OS::shutdown(descriptor_, ACE_SHUTDOWN_WRITE) == 0;
+}
+
 void tcp_stream::close_gently(std::unique_ptr<tcp_stream> stream)
 {
     if (!stream || !stream->is_open()) {
--- a/modules/net/tcp_stream.h
+++ b/modules/net/tcp_stream.h
@@ -66,6 +66,10 @@
     /// Stops or resumes reading; the peer is slowed down meanwhile, and its close goes unnoticed.
     void set_reading(bool on);
 
+    /// Closes the sending side; bytes are still received. Fails without effect if the stream is not
+    /// connected or bytes wait to be sent.
+    bool stop_sending();
+
     /// Closes at once; bytes not yet sent are dropped. No further call to the listener.
     void close();
 
--- a/modules/net/tests/http_exchange_tests.cpp
+++ b/modules/net/tests/http_exchange_tests.cpp
@@ -33,6 +33,7 @@
 
     std::vector<std::string> answers;
     bool close_after_answer{false};
+    bool reset_after_answer{false};
     int requests{0};
 
 private:
@@ -48,6 +49,9 @@
         if (close_after_answer) {
             stream_->close();
         }
+        if (reset_after_answer) {
+            stream_->reset();
+        }
     }
     void on_ended(stream_end /*how*/) override {}
 
@@ -106,8 +110,44 @@
         loop.schedule(seconds(5), [this] { loop.stop(); });
         loop.run();
     }
+    /// Sends a request and gives it up after a moment. Returns whether that could be done.
+    bool ask_and_stop(http_exchange & exchange)
+    {
+        bool stopped = false;
+        loop.schedule(time_ms{50}, [&] { stopped = exchange.stop_sending(caller); });
+        loop.schedule(time_ms{200}, [this] { loop.stop(); });
+        ask(exchange);
+        return stopped;
+    }
 };
 
+// Guards against charging for a request that its server dropped before it began.
+TEST(http_exchange, a_peer_that_closes_after_the_end_of_the_request_has_not_answered)
+{
+    http_exchange exchange{loop, peer.address(), {}};
+    CHECK(ask_and_stop(exchange));
+    CHECK(caller.failure == exchange_failure::no_response);
+    CHECK(exchange.closed_in_order());
+}
+
+// Guards against taking a broken connection for a server's word that nothing has run.
+TEST(http_exchange, a_reset_is_not_an_orderly_close)
+{
+    peer.reset_after_answer = true;
+    http_exchange exchange{loop, peer.address(), {}};
+    CHECK_FALSE(ask_and_stop(exchange));
+    CHECK(caller.failure == exchange_failure::no_response);
+    CHECK_FALSE(exchange.closed_in_order());
+}
+
+// Guards against taking a request whose answer has begun for one that has not run.
+TEST(http_exchange, a_request_cannot_be_given_up_once_its_answer_has_begun)
+{
+    peer.answers = {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc"};
+    http_exchange exchange{loop, peer.address(), {}};
+    CHECK_FALSE(ask_and_stop(exchange));
+}
+
 // Guards against a late second answer being given to the next request.
 TEST(http_exchange, passes_over_answers_to_other_requests)
 {
