--- a/modules/budget/grant_book.h
+++ b/modules/budget/grant_book.h
@@ -97,15 +97,15 @@
 
 /// Delays and sizes of the refill.
 struct refill_timing {
-    time_ms check_interval{minutes(1)};  ///< between looks at the ledger of a budget with surplus
-    time_ms retry_first{time_ms{200}};   ///< after a conflict or a failed call; doubled each time
-    time_ms retry_last{seconds(5)};      ///< largest delay between attempts
-    time_ms exhausted_retry{seconds(1)}; ///< between looks at a ledger with nothing free
-    time_ms hint_interval{seconds(10)};  ///< between returns because others lack tokens
-    time_ms demand_window{minutes(5)};   ///< time constant of the demand's moving average
+    time_ms check_interval{minutes(1)};    ///< between looks at the ledger of a budget with surplus
+    time_ms retry_first{time_ms{200}};     ///< after a conflict or a failed call; doubled each time
+    time_ms retry_last{seconds(5)};        ///< largest delay between attempts
+    time_ms exhausted_retry{seconds(1)};   ///< between looks at a ledger with nothing free
+    time_ms hint_interval{seconds(10)};    ///< between returns because others lack tokens
+    time_ms demand_window{minutes(5)};     ///< time constant of the demand's moving average
     time_ms demand_least_age{seconds(10)}; ///< demand counts as spread over at least this time
-    time_ms idle_after{minutes(70)};     ///< a budget unused for this long is returned and dropped
-    std::size_t batch_size{64};          ///< budgets in one transaction
+    time_ms idle_after{minutes(70)}; ///< a budget unused for this long is returned and dropped
+    std::size_t batch_size{64};      ///< budgets in one transaction
 };
 
 /// The grants, reservations and spend of this incarnation. A budget costs memory only while it is
--- a/modules/dispatch/account_budgets.cpp
+++ b/modules/dispatch/account_budgets.cpp
@@ -212,11 +212,11 @@
     for (const auto& account : book_.budgets()) {
         const auto facts = book_.facts(account, 1, now);
         const bool plenty = facts.free > plenty_requests * instances_ * facts.request;
-        found.push_back({account, book_.spent(account) + book_.reserved(account),
-                         plenty ? facts.request : 0, facts.demand_per_ms,
-                         std::max(policy_.share_of_rest(facts) / stranded_divisor,
-                                  plenty ? facts.request : 0),
-                         facts.available});
+        found.push_back(
+            {account, book_.spent(account) + book_.reserved(account), plenty ? facts.request : 0,
+             facts.demand_per_ms,
+             std::max(policy_.share_of_rest(facts) / stranded_divisor, plenty ? facts.request : 0),
+             facts.available});
     }
     return found;
 }
--- a/modules/dispatch/spend_ceilings.cpp
+++ b/modules/dispatch/spend_ceilings.cpp
@@ -76,8 +76,7 @@
     const auto most_growth =
         facts.most_room * growth_in_rooms / spend_ceiling::rises_faster_after.count() * 1000;
     return {facts.total + std::min(std::max(demand_in(covered), facts.spare), facts.most_room),
-            std::min(growth, most_growth),
-            std::max<token_count>(0, facts.stock) / late_growth_s};
+            std::min(growth, most_growth), std::max<token_count>(0, facts.stock) / late_growth_s};
 }
 
 std::optional<ceiling_map> spend_ceilings::plan(const std::vector<spend_facts>& facts, time_ms now)
@@ -90,8 +89,8 @@
     for (const auto& item : facts) {
         auto ceiling = wanted(item);
         const auto room = ceiling.base - item.total;
-        due = due || (bound(item.account, now) - item.total < room / 2 &&
-                      now - sent_at_ >= interval_ / 4);
+        due = due ||
+              (bound(item.account, now) - item.total < room / 2 && now - sent_at_ >= interval_ / 4);
         if (const auto asked = asked_.find(item.account); asked != asked_.end()) {
             ceiling.base = std::max(ceiling.base, asked->second + room);
         }
--- a/modules/dispatch/stocked_grants.cpp
+++ b/modules/dispatch/stocked_grants.cpp
@@ -122,7 +122,8 @@
     if (facts.available < goal / 2 || facts.available < std::min(facts.shortage, facts.request)) {
         const auto step = std::clamp<token_count>(goal - facts.available, 0, free);
         // A grant that serves no request here might serve one elsewhere.
-        const auto useful = std::max(facts.typical_request, std::min(facts.shortage, facts.request));
+        const auto useful =
+            std::max(facts.typical_request, std::min(facts.shortage, facts.request));
         return facts.available + step >= useful ? step : 0;
     }
     return is_low(facts) && facts.available > surplus_factor * goal ? goal - facts.available : 0;
--- a/modules/gateway/abandoned_runs.cpp
+++ b/modules/gateway/abandoned_runs.cpp
@@ -83,8 +83,9 @@
 void abandoned_runs::add(std::unique_ptr<http_exchange> connection, abandoned_request request)
 {
     const auto id = ++last_id_;
-    auto& made = *runs_.emplace(id, std::make_unique<run>(*this, id, std::move(connection),
-                                                          std::move(request)))
+    auto& made = *runs_
+                      .emplace(id, std::make_unique<run>(*this, id, std::move(connection),
+                                                         std::move(request)))
                       .first->second;
     made.begin();
 }
--- a/modules/gateway/call.cpp
+++ b/modules/gateway/call.cpp
@@ -331,9 +331,8 @@
         return;
     }
     if (connection_ && reservation_ != 0 && state_ == run_state::sent && attempts_ == 1) {
-        context_.abandoned.add(std::move(connection_), {request_.id,
-                                                        std::exchange(reservation_, 0),
-                                                        used_tokens()});
+        context_.abandoned.add(std::move(connection_),
+                               {request_.id, std::exchange(reservation_, 0), used_tokens()});
     } else if (connection_) {
         connection_->abandon();
     }
--- a/modules/gateway/call.h
+++ b/modules/gateway/call.h
@@ -114,10 +114,10 @@
     server_response response_;
     http_head response_head_;
     std::string response_body_;
-    bool in_stream_{false};      ///< the present attempt answers with events
-    bool head_forwarded_{false}; ///< the caller has the head of a stream
+    bool in_stream_{false};       ///< the present attempt answers with events
+    bool head_forwarded_{false};  ///< the caller has the head of a stream
     bool stream_complete_{false}; ///< the caller has all events of a stream
-    bool closing_{false};        ///< the caller was told that the connection ends
+    bool closing_{false};         ///< the caller was told that the connection ends
     event_splitter events_;
     std::optional<std::string> last_event_; ///< id of the last event that the caller was sent
     std::int64_t events_sent_{0};
--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -140,8 +140,7 @@
                    connections_,
                    abandoned_,
                    choice_,
-                   std::minstd_rand{
-                       static_cast<std::minstd_rand::result_type>(hash64(incarnation_))},
+                   std::minstd_rand{static_cast<std::minstd_rand::result_type>(hash64(incarnation_))},
                    {},
                    0}
         , callers_{context_, [](const http_head&, bool) { return std::nullopt; },
--- a/modules/gateway/gateway_settings.h
+++ b/modules/gateway/gateway_settings.h
@@ -19,8 +19,8 @@
     std::string metrics_listen;   ///< empty: no metrics
     std::string store;
     std::string relay_listen; ///< for instances that are cut off from the store; empty: none
-    time_ms address_ttl{}; ///< how long callers may keep addresses
-    time_ms stop_limit{};  ///< time between the request to stop and the process's end
+    time_ms address_ttl{};    ///< how long callers may keep addresses
+    time_ms stop_limit{};     ///< time between the request to stop and the process's end
     fleet_retry_limit retry_limit;
     std::int64_t capacity{};     ///< requests per second that this machine can carry
     double store_writes_per_s{}; ///< that the store takes from the whole fleet
--- a/modules/gateway/grant_service.cpp
+++ b/modules/gateway/grant_service.cpp
@@ -174,22 +174,21 @@
     const spend_row row{incarnation_, address_, *store_time, *ceilings};
     budgets_.ceilings().sent(*ceilings, now);
     // An earlier write whose answer was lost must not take effect after this one.
-    store_.commit(
-        {{{own_spend_key(), spend_row_version_}}, {{own_spend_key(), to_text(row)}}, {}},
-        [this](const store_commit& done) {
-            const bool is_committed = done.outcome.outcome == commit_outcome::committed;
-            ceilings_unanswered_ = !is_committed;
-            if (is_committed) {
-                spend_row_version_ = done.outcome.versions.at(0);
-                budgets_.ceilings().acknowledged();
-            } else {
-                for (const auto& present : done.current) {
-                    spend_row_version_ = present.version;
-                }
-                budgets_.ceilings().failed();
-            }
-            schedule_run(time_ms{0});
-        });
+    store_.commit({{{own_spend_key(), spend_row_version_}}, {{own_spend_key(), to_text(row)}}, {}},
+                  [this](const store_commit& done) {
+                      const bool is_committed = done.outcome.outcome == commit_outcome::committed;
+                      ceilings_unanswered_ = !is_committed;
+                      if (is_committed) {
+                          spend_row_version_ = done.outcome.versions.at(0);
+                          budgets_.ceilings().acknowledged();
+                      } else {
+                          for (const auto& present : done.current) {
+                              spend_row_version_ = present.version;
+                          }
+                          budgets_.ceilings().failed();
+                      }
+                      schedule_run(time_ms{0});
+                  });
 }
 
 void grant_service::recover()
@@ -266,8 +265,8 @@
             std::erase_if(known, [&row](const table_row& old) { return old.key == row.key; });
             known.push_back(row);
         }
-        loop_.schedule(
-            pause, [=, this] { reclaim(dead, age, known.empty() ? 0 : attempt + 1, known); });
+        loop_.schedule(pause,
+                       [=, this] { reclaim(dead, age, known.empty() ? 0 : attempt + 1, known); });
     });
 }
 
--- a/modules/router/config_service.cpp
+++ b/modules/router/config_service.cpp
@@ -12,7 +12,7 @@
 constexpr std::size_t entries_per_reply = 100;
 constexpr std::size_t rows_per_reply = 500;
 
-// Cursors of the pages of a snapshot: the table's letter and the last row's name.
+// Cursors of the pages of a snapshot: one character for the table and the last row's name.
 constexpr char routes_cursor = 'r';
 constexpr char pools_cursor = 'p';
 
--- a/modules/standins/site/site.cpp
+++ b/modules/standins/site/site.cpp
@@ -92,8 +92,7 @@
             "--instance=" + gateway.name, "--failure_domain=a", "--listen=" + gateway.listen,
             "--readiness_listen=" + gateway.readiness, "--directory_listen=" + gateway.directory,
             "--store=" + gateway.store_path->address(), "--relay_listen=" + gateway.relay,
-            "--retry_slack=1000.5",
-            "--stop_limit_s=8.0"},
+            "--retry_slack=1000.5", "--stop_limit_s=8.0"},
         options_.log_folder + "/" + gateway.name + ".log");
 }
 
--- a/tests/gateway/gateway_tests.cpp
+++ b/tests/gateway/gateway_tests.cpp
@@ -35,7 +35,7 @@
 class background_load
 {
 public:
-    background_load(site_caller& caller, std::vector<std::string> gateways, site_call kind)
+    background_load(site_caller& caller, const std::vector<std::string>& gateways, site_call kind)
     {
         for (int i = 0; i < 4; ++i) {
             threads_.emplace_back([this, &caller, gateways, kind, i] {
@@ -72,7 +72,7 @@
     std::unique_ptr<deployment> where;
     std::unique_ptr<site_caller> caller;
 
-    void begin(site_options options = {})
+    void begin(const site_options& options = {})
     {
         where = std::make_unique<deployment>(options);
         caller = std::make_unique<site_caller>(*where);
