--- a/modules/dispatch/spend_ceilings.cpp
+++ b/modules/dispatch/spend_ceilings.cpp
@@ -10,9 +10,9 @@
 {
 /// Time of the fleet for each instance's write: at most 125 a second are spent on ceilings.
 constexpr time_ms write_spacing{8};
-/// Demand for which there is room at the time of publication: an interval and a slow answer.
+/// Demand for which there is room at the time of publication: bursts within a second.
 constexpr time_ms covered{1000};
-/// Growth in multiples of the demand, to make up for the time without growth.
+/// Growth in multiples of the demand, which varies around its average within seconds.
 constexpr double growth_margin = 2;
 /// Growth in multiples of the most room, over the time until it becomes faster.
 constexpr std::int64_t growth_in_rooms = 4;
@@ -25,7 +25,7 @@
     const auto grown = [age](token_count per_s, time_ms after) {
         return per_s * std::max<std::int64_t>(0, (age - after).count()) / 1000;
     };
-    return base + grown(growth_per_s, rises_after) + grown(late_growth_per_s, rises_faster_after);
+    return base + grown(growth_per_s, time_ms{0}) + grown(late_growth_per_s, rises_faster_after);
 }
 
 spend_ceilings::spend_ceilings(spend_ceilings_options options)
--- a/modules/dispatch/spend_ceilings.h
+++ b/modules/dispatch/spend_ceilings.h
@@ -16,13 +16,12 @@
 /// A bound on spend that rises with the age of its publication: a process that is cut off from the
 /// store can go on, and one that dies strands the less the sooner its successor starts.
 struct spend_ceiling {
-    /// Age up to which the bound is `base`. Older than the next write as long as the store answers.
-    static constexpr time_ms rises_after{0};
-    /// Age from which `late_growth_per_s` is added; outages of the store last longer than this.
+    /// Age from which `late_growth_per_s` is added. Processes that are killed one by one start
+    /// again sooner; outages of the store last longer.
     static constexpr time_ms rises_faster_after{2500};
 
     token_count base{0};
-    token_count growth_per_s{0};      ///< tokens per second of age beyond `rises_after`
+    token_count growth_per_s{0};      ///< tokens per second of age
     token_count late_growth_per_s{0}; ///< tokens per second of age beyond `rises_faster_after`
 
     /// The bound at an age; negative ages count as none.
