Divide budgets and store writes among the instances that carry the callers

Cause: each of 295 live instances got the same share of the store's write rate and stocked as if it carried a 295th of the demand, though 15 large machines carry nearly all callers; demand was known only when a stream had ended. Change: the counts of live and of listed instances replace the single count; stocks without demand are drawn by listed instances, once the fleet has had time to publish its heartbeats; demand counts from the reservation on; ceilings are written only while tokens can be spent.

--- a/modules/budget/demand_rate.cpp
+++ b/modules/budget/demand_rate.cpp
@@ -25,6 +25,13 @@
     last_ = now;
 }
 
+void demand_rate::correct(token_count change, time_ms then)
+{
+    const auto tau = static_cast<double>(time_constant_.count());
+    const auto weight = std::exp(-static_cast<double>((last_ - then).count()) / tau);
+    weighted_ = std::max(0.0, weighted_ + weight * static_cast<double>(change) / tau);
+}
+
 double demand_rate::per_ms(time_ms now) const
 {
     if (!started_) {
--- a/modules/budget/demand_rate.h
+++ b/modules/budget/demand_rate.h
@@ -19,6 +19,9 @@
     /// Records demand at the time `now`.
     void add(token_count tokens, time_ms now);
 
+    /// Changes demand that was recorded at the time `then` by `change`, which may be negative.
+    void correct(token_count change, time_ms then);
+
     /// Returns the demand in tokens per millisecond.
     [[nodiscard]] double per_ms(time_ms now) const;
 
--- a/modules/budget/grant_tracker.cpp
+++ b/modules/budget/grant_tracker.cpp
@@ -109,7 +109,10 @@
         return refuse(state, tokens, now);
     }
     state.reserved += tokens;
-    reservations_.emplace(++last_id_, reservation{std::string{budget}, tokens});
+    reservations_.emplace(++last_id_, reservation{std::string{budget}, tokens, now});
+    if (timing_.demand_from_reservations) {
+        state.demand.add(tokens, now);
+    }
     ++counts_.reservations;
     return {last_id_, result_code::ok, false};
 }
@@ -135,17 +138,21 @@
     if (found == reservations_.end() || used < 0) {
         return false;
     }
-    const auto [budget, tokens] = found->second;
+    const auto ended = found->second;
     reservations_.erase(found);
-    auto& state = at(budget, now);
-    state.reserved -= tokens;
+    auto& state = at(ended.budget, now);
+    state.reserved -= ended.tokens;
     state.spent += used;
     state.spend_changed = state.spend_changed || used > 0;
     state.last_use = now;
-    state.demand.add(used, now);
+    if (timing_.demand_from_reservations) {
+        state.demand.correct(used - ended.tokens, ended.made_at);
+    } else {
+        state.demand.add(used, now);
+    }
     state.settled_since_grant = true;
     ++counts_.settled;
-    if (used > tokens) {
+    if (used > ended.tokens) {
         ++counts_.usage_above_reservation;
     }
     return true;
@@ -166,6 +173,9 @@
     const auto entry = budgets_.find(found->second.budget);
     if (entry != budgets_.end()) {
         entry->second.reserved -= found->second.tokens;
+        if (timing_.demand_from_reservations) {
+            entry->second.demand.correct(-found->second.tokens, found->second.made_at);
+        }
     }
     reservations_.erase(found);
     ++counts_.released;
--- a/modules/budget/grant_tracker.h
+++ b/modules/budget/grant_tracker.h
@@ -107,6 +107,10 @@
     time_ms demand_min_age{seconds(10)};       ///< minimum time over which demand is averaged
     time_ms idle_after{minutes(70)};           ///< until an unused budget is returned and dropped
     std::size_t batch_size{64};                ///< maximum number of budgets in one transaction
+    /// Counts a request's tokens as demand when they are reserved and corrects them to the usage at
+    /// its end. Otherwise the usage counts at the end, so that requests that run for longer than
+    /// the budget has been in use are not part of its demand yet.
+    bool demand_from_reservations{false};
 };
 
 /// Tracks the grants, reservations and spend of this incarnation. Budgets that are not in use take
@@ -317,6 +321,7 @@
     struct reservation {
         std::string budget;
         token_count tokens{0};
+        time_ms made_at{};
     };
 
     using state_map = std::map<std::string, budget_state, std::less<>>;
--- a/modules/dispatch/account_budgets.cpp
+++ b/modules/dispatch/account_budgets.cpp
@@ -55,10 +55,26 @@
         sources[account] = {account};
     }
     planner_.set_budget_pools(std::move(sources));
-    if (limits.size() <= options_.max_prefetched_accounts) {
-        for (const auto& [account, limit] : limits) {
-            grants_.open(account, now);
-        }
+    open_ahead(now);
+}
+
+void account_budgets::set_stocks_ahead(bool stocks_ahead, time_ms now)
+{
+    if (stocks_ahead == stocks_ahead_) {
+        return;
+    }
+    stocks_ahead_ = stocks_ahead;
+    policy_.set_stocks_ahead(stocks_ahead);
+    open_ahead(now);
+}
+
+void account_budgets::open_ahead(time_ms now)
+{
+    if (!stocks_ahead_ || limits_.size() > options_.max_prefetched_accounts) {
+        return;
+    }
+    for (const auto& [account, limit] : limits_) {
+        grants_.open(account, now);
     }
 }
 
@@ -218,7 +234,7 @@
                          has_ample_free ? facts.request : 0, facts.demand_per_ms,
                          std::max(policy_.share_of_remaining(facts) / max_stranded_divisor,
                                   has_ample_free ? facts.request : 0),
-                         facts.available});
+                         facts.available, facts.available > 0 || facts.reserved > 0});
     }
     return found;
 }
--- a/modules/dispatch/account_budgets.h
+++ b/modules/dispatch/account_budgets.h
@@ -72,9 +72,13 @@
     /// committed() and that of a read with rows_read().
     [[nodiscard]] grant_step next_step(std::int64_t instances, time_ms now);
 
-    /// Sets the fleet size, which determines the max delay after a conflict.
+    /// Sets how many instances share the budgets, which determines the max delay after a conflict.
     void set_instances(std::int64_t instances);
 
+    /// Sets whether grants are drawn ahead of the first request. Callers are sent to this instance
+    /// and the number of instances is known.
+    void set_stocks_ahead(bool stocks_ahead, time_ms now);
+
     /// Handles the outcome of a write; `current` holds the current rows after a conflict.
     void committed(const grant_write& write, const commit_result& outcome,
                    const std::vector<table_row>& current, time_ms now);
@@ -129,6 +133,7 @@
     /// Returns the rows that the planner needs for the batch. Those of the term, the instance and
     /// the limits are made up from local state, since they are not in the store.
     [[nodiscard]] std::vector<table_row> planning_rows(const refill_batch& batch) const;
+    void open_ahead(time_ms now);
     void drop_virtual_conditions(transaction& change) const;
 
     account_budget_options options_;
@@ -137,6 +142,7 @@
     grant_stock_policy policy_;
     spend_ceilings ceilings_;
     bool store_reachable_{true};
+    bool stocks_ahead_{true};
     std::int64_t instances_{1};
     std::map<std::string, token_count, std::less<>> limits_;
     std::map<std::string, table_row, std::less<>> cached_rows_;
--- a/modules/dispatch/call_pacer.cpp
+++ b/modules/dispatch/call_pacer.cpp
@@ -11,6 +11,8 @@
 constexpr double burst_seconds = 3;
 /// Calls per second that each instance may always make, however many instances there are.
 constexpr double min_rate_per_s = 2;
+/// Fraction of the rate that the listed instances share if there are others.
+constexpr double listed_fraction = 0.8;
 constexpr time_ms initial_backoff{50};
 constexpr time_ms max_backoff{800};
 } // namespace
@@ -20,14 +22,20 @@
 {
 }
 
-void call_pacer::set_instances(std::int64_t instances)
+void call_pacer::set_fleet(const instance_counts& fleet)
 {
-    instances_ = std::max<std::int64_t>(1, instances);
+    fleet_ = fleet;
 }
 
 double call_pacer::rate_per_ms() const
 {
-    return std::max(min_rate_per_s, fleet_rate_per_s_ / static_cast<double>(instances_)) / 1000;
+    const auto unlisted = fleet_.live - fleet_.listed;
+    const auto fraction = unlisted <= 0        ? 1.0
+                          : fleet_.self_listed ? listed_fraction
+                                               : 1 - listed_fraction;
+    const auto sharers = std::max<std::int64_t>(1, fleet_.self_listed ? fleet_.listed : unlisted);
+    const auto share = fraction * fleet_rate_per_s_ / static_cast<double>(sharers);
+    return std::max(min_rate_per_s, share) / 1000;
 }
 
 bool call_pacer::may_call(time_ms now)
--- a/modules/dispatch/call_pacer.h
+++ b/modules/dispatch/call_pacer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time_ms.h"
+#include "dispatch/instance_registry.h"
 
 #include <cstdint>
 
@@ -15,8 +16,9 @@
     /// `fleet_rate_per_s`: calls per second that all instances together may make.
     explicit call_pacer(double fleet_rate_per_s);
 
-    /// Sets the number of instances that share the rate.
-    void set_instances(std::int64_t instances);
+    /// Sets the instances that share the rate. Most of it goes to the listed ones, since the others
+    /// have hardly any callers.
+    void set_fleet(const instance_counts& fleet);
 
     /// Returns whether a call may be made now.
     [[nodiscard]] bool may_call(time_ms now);
@@ -36,7 +38,7 @@
     [[nodiscard]] double rate_per_ms() const;
 
     double fleet_rate_per_s_;
-    std::int64_t instances_{1};
+    instance_counts fleet_;
     double permits_{0};
     time_ms last_refill_at_{};
     bool started_{false}; ///< the bucket has been filled for the first time
--- a/modules/dispatch/grant_stock_policy.cpp
+++ b/modules/dispatch/grant_stock_policy.cpp
@@ -97,7 +97,8 @@
                                                std::max<token_count>(0, facts.free));
     const auto stock = facts.demand_per_ms * 2 * static_cast<double>(options_.horizon.count());
     const auto share = used_share * static_cast<double>(share_of_remaining(facts));
-    const auto floor = remaining / static_cast<double>(live * options_.floor_divisor);
+    const auto floor =
+        stocks_ahead_ ? remaining / static_cast<double>(live * options_.floor_divisor) : 0.0;
     const auto shortage = unmet_tokens(facts);
     const auto goal = static_cast<token_count>(std::max(std::min(stock, share), floor));
     if (facts.demand_per_ms <= 0 && shortage == 0 && goal < facts.limit / min_floor_divisor) {
@@ -128,7 +129,9 @@
             std::max(facts.typical_request, std::min(facts.shortage, facts.request));
         return facts.available + increase >= min_useful ? increase : 0;
     }
-    return is_low(facts) && facts.available > surplus_factor * goal ? goal - facts.available : 0;
+    return (is_low(facts) || !stocks_ahead_) && facts.available > surplus_factor * goal
+               ? goal - facts.available
+               : 0;
 }
 
 } // namespace jujubevalve
--- a/modules/dispatch/grant_stock_policy.h
+++ b/modules/dispatch/grant_stock_policy.h
@@ -36,6 +36,10 @@
     /// until the requests have reserved them.
     void set_waiting(account_demand waiting_tokens) { waiting_tokens_ = std::move(waiting_tokens); }
 
+    /// Sets whether this instance stocks tokens without demand. Only instances that callers are
+    /// sent to need to.
+    void set_stocks_ahead(bool stocks_ahead) { stocks_ahead_ = stocks_ahead; }
+
     /// Returns the tokens to add (positive) or to return (negative), see `grant_policy`.
     [[nodiscard]] token_count wanted(const grant_policy_input& facts) const;
 
@@ -74,6 +78,7 @@
     grant_stock_options options_;
     account_demand demand_elsewhere_;
     account_demand waiting_tokens_;
+    bool stocks_ahead_{true};
 };
 
 static_assert(grant_policy<grant_stock_policy>);
--- a/modules/dispatch/instance_registry.cpp
+++ b/modules/dispatch/instance_registry.cpp
@@ -79,8 +79,8 @@
     return best_count;
 }
 
-std::vector<std::string> instance_registry::addresses(const instance_heartbeat& own,
-                                                      time_ms now) const
+std::vector<const instance_heartbeat*> instance_registry::listed(const instance_heartbeat& own,
+                                                                 time_ms now) const
 {
     std::vector<const instance_heartbeat*> serving;
     if (own.serving) {
@@ -98,9 +98,16 @@
     while (count < serving.size() && serving[count]->capacity >= min_capacity) {
         ++count;
     }
+    serving.resize(std::min(count, options_.max_addresses));
+    return serving;
+}
+
+std::vector<std::string> instance_registry::addresses(const instance_heartbeat& own,
+                                                      time_ms now) const
+{
     std::vector<std::string> found;
-    for (std::size_t i = 0; i < std::min(count, options_.max_addresses); ++i) {
-        found.push_back(serving[i]->address);
+    for (const auto* heartbeat : listed(own, now)) {
+        found.push_back(heartbeat->address);
     }
     return found;
 }
@@ -130,10 +137,15 @@
     return sum;
 }
 
-std::int64_t instance_registry::live_count(time_ms now) const
+instance_counts instance_registry::counts(const instance_heartbeat& own, time_ms now) const
 {
-    return 1 + std::count_if(peers_.begin(), peers_.end(),
-                             [&](const auto& tracked) { return is_live(tracked.second, now); });
+    instance_counts found;
+    found.live += std::count_if(peers_.begin(), peers_.end(),
+                                [&](const auto& tracked) { return is_live(tracked.second, now); });
+    const auto heartbeats = listed(own, now);
+    found.listed = std::max<std::int64_t>(1, static_cast<std::int64_t>(heartbeats.size()));
+    found.self_listed = std::find(heartbeats.begin(), heartbeats.end(), &own) != heartbeats.end();
+    return found;
 }
 
 } // namespace jujubevalve
--- a/modules/dispatch/instance_registry.h
+++ b/modules/dispatch/instance_registry.h
@@ -29,6 +29,15 @@
     friend bool operator==(const instance_heartbeat&, const instance_heartbeat&) = default;
 };
 
+/// Instances that share the store and the budgets.
+struct instance_counts {
+    std::int64_t live{1};   ///< all live instances, including this one
+    std::int64_t listed{1}; ///< those in the address list, which get nearly all callers; at least 1
+    bool self_listed{true}; ///< this instance is one of them
+
+    friend bool operator==(const instance_counts&, const instance_counts&) = default;
+};
+
 /// Settings of an instance_registry.
 struct instance_registry_options {
     time_ms max_heartbeat_age{3500}; ///< an instance with an older last heartbeat is omitted
@@ -64,8 +73,8 @@
     /// Returns the total demand of the other live instances, by account.
     [[nodiscard]] account_demand demand_elsewhere(time_ms now) const;
 
-    /// Returns the number of live instances, including this one.
-    [[nodiscard]] std::int64_t live_count(time_ms now) const;
+    /// Returns the numbers of live and of listed instances, including this one.
+    [[nodiscard]] instance_counts counts(const instance_heartbeat& own, time_ms now) const;
 
 private:
     struct peer {
@@ -74,6 +83,9 @@
     };
 
     [[nodiscard]] bool is_live(const peer& tracked, time_ms now) const;
+    /// Returns the heartbeats of the instances in the address list.
+    [[nodiscard]] std::vector<const instance_heartbeat*> listed(const instance_heartbeat& own,
+                                                                time_ms now) const;
     /// Returns how many of the instances, sorted by descending capacity, are needed for the demand.
     [[nodiscard]] std::size_t
     needed_count(const std::vector<const instance_heartbeat*>& by_capacity) const;
--- a/modules/dispatch/spend_ceilings.cpp
+++ b/modules/dispatch/spend_ceilings.cpp
@@ -87,12 +87,16 @@
     if (in_flight_) {
         return std::nullopt;
     }
-    bool due = !ever_sent_ || now - sent_at_ >= interval_ || !requested_totals_.empty();
+    const bool any_spendable = std::any_of(
+        facts.begin(), facts.end(), [](const auto& account) { return account.is_spendable; });
+    bool due = !requested_totals_.empty() ||
+               (any_spendable && (!ever_sent_ || now - sent_at_ >= interval_));
     auto next = acknowledged_.ceilings;
     for (const auto& account_facts : facts) {
         auto ceiling = target_ceiling(account_facts);
         const auto headroom = ceiling.base - account_facts.total;
-        due = due || (bound(account_facts.account, now) - account_facts.total < headroom / 2 &&
+        due = due || (account_facts.is_spendable &&
+                      bound(account_facts.account, now) - account_facts.total < headroom / 2 &&
                       now - sent_at_ >= interval_ / 4);
         if (const auto requested_total = requested_totals_.find(account_facts.account);
             requested_total != requested_totals_.end()) {
--- a/modules/dispatch/spend_ceilings.h
+++ b/modules/dispatch/spend_ceilings.h
@@ -48,6 +48,7 @@
     double demand_per_ms{0};
     token_count max_headroom{max_token_count}; ///< limits what a killed process strands
     token_count stock{0};                      ///< granted and still available, beyond `total`
+    bool is_spendable{true}; ///< false: all granted tokens are spent, so no ceiling is needed
 
     friend bool operator==(const spend_facts&, const spend_facts&) = default;
 };
--- a/modules/dispatch/tests/grant_stock_policy_tests.cpp
+++ b/modules/dispatch/tests/grant_stock_policy_tests.cpp
@@ -98,3 +98,38 @@
     }
     DOUBLES_EQUAL(5.0, rate.per_ms(time_ms{1000}), 0.5);
 }
+
+// Load pattern: an account's first streams run for seconds and the store fails before the first of
+// them has ended.
+TEST(grant_stock_policy, demand_of_running_requests_is_known_before_they_end)
+{
+    refill_timing timing;
+    timing.demand_window = seconds(10);
+    timing.demand_min_age = seconds(1);
+    timing.demand_from_reservations = true;
+    grant_tracker book{"i-1", timing};
+    time_ms now{100'000};
+    book.observe({"crew", 1'000'000, 1'000'000, 100'000, {100'000}, 1}, now);
+    std::vector<reservation_id> running;
+    for (int i = 0; i < 10; ++i) {
+        now = now + time_ms{100};
+        running.push_back(book.reserve("crew", 1'000, now).id);
+    }
+    CHECK(book.demand("crew", now) >= 8.0);
+    for (const auto id : running) {
+        book.settle(id, 500, now + time_ms{1});
+    }
+    DOUBLES_EQUAL(5.0, book.demand("crew", now + time_ms{1}), 1.0);
+}
+
+// Guards against demand of requests that never ran.
+TEST(grant_stock_policy, released_reservations_are_no_demand)
+{
+    refill_timing timing;
+    timing.demand_from_reservations = true;
+    grant_tracker book{"i-1", timing};
+    const time_ms now{100'000};
+    book.observe({"crew", 1'000'000, 1'000'000, 100'000, {100'000}, 1}, now);
+    book.release(book.reserve("crew", 5'000, now).id);
+    DOUBLES_EQUAL(0.0, book.demand("crew", now + time_ms{10}), 0.001);
+}
--- a/modules/dispatch/tests/pacer_tests.cpp
+++ b/modules/dispatch/tests/pacer_tests.cpp
@@ -29,10 +29,26 @@
 {
     constexpr int instances = 68;
     call_pacer pacer{750};
-    pacer.set_instances(instances);
+    pacer.set_fleet({instances, instances, true});
     CHECK(calls_made(pacer, start, start + seconds(10)) * instances <= 750 * 10 + 750 * 3);
 }
 
+// Load pattern: 15 large machines of 295 carry the callers, and each of them needs refills of all
+// accounts within the first seconds.
+TEST(call_pacer, the_instances_that_carry_the_callers_share_most_of_the_rate)
+{
+    constexpr int live = 295;
+    constexpr int listed = 15;
+    call_pacer carrying{2000};
+    carrying.set_fleet({live, listed, true});
+    call_pacer other{2000};
+    other.set_fleet({live, listed, false});
+    const auto calls_of_one = calls_made(carrying, start, start + seconds(10));
+    const auto calls_of_other = calls_made(other, start, start + seconds(10));
+    CHECK(calls_of_one >= 10 * 2000 / listed / 2);
+    CHECK(calls_of_one * listed + calls_of_other * (live - listed) <= 2000 * 13 * 3 / 2);
+}
+
 // Guards against a busy loop of calls that are refused immediately.
 TEST(call_pacer, backs_off_longer_after_each_refusal)
 {
--- a/modules/gateway/fleet_view.cpp
+++ b/modules/gateway/fleet_view.cpp
@@ -15,6 +15,9 @@
 /// Interval of this instance's heartbeat, and delay between reads of the others' heartbeats.
 constexpr time_ms heartbeat_interval{1000};
 constexpr time_ms heartbeat_poll_delay{700};
+/// Time after the first listing of the heartbeats in which all instances that started together have
+/// published theirs.
+constexpr time_ms settling_time{2000};
 /// Interval of tick(), and so of retries while the store is unreachable.
 constexpr time_ms retry_interval{250};
 /// The store counts as unreachable after this time without a response. A slow store takes up to
@@ -61,7 +64,10 @@
     , heartbeat_rows_{loop,
                       store,
                       make_follow_options(heartbeat_table, time_ms{1}, heartbeat_poll_delay),
-                      {[this](const auto& rows) { apply_heartbeats(rows); },
+                      {[this](const auto& rows) {
+                           heartbeats_listed_at_ = heartbeats_listed_at_.value_or(loop_.now());
+                           apply_heartbeats(rows);
+                       },
                        [this](const auto& rows) { apply_heartbeats(rows); },
                        [this](bool reachable) { update_reachability(reachable); }}}
     , route_{settings.store}
@@ -84,9 +90,14 @@
     return instances_.addresses(own_heartbeat_, loop_.now());
 }
 
-std::int64_t fleet_view::instance_count() const
+instance_counts fleet_view::counts() const
 {
-    return instances_.live_count(loop_.now());
+    return instances_.counts(own_heartbeat_, loop_.now());
+}
+
+bool fleet_view::is_settled() const
+{
+    return heartbeats_listed_at_ && loop_.now() - *heartbeats_listed_at_ >= settling_time;
 }
 
 account_demand fleet_view::demand_elsewhere() const
--- a/modules/gateway/fleet_view.h
+++ b/modules/gateway/fleet_view.h
@@ -57,7 +57,9 @@
 
     /// Returns the addresses of instances that callers may use.
     [[nodiscard]] std::vector<std::string> caller_addresses() const;
-    [[nodiscard]] std::int64_t instance_count() const;
+    [[nodiscard]] instance_counts counts() const;
+    /// Returns whether the other instances have had time to publish their heartbeats.
+    [[nodiscard]] bool is_settled() const;
     [[nodiscard]] account_demand demand_elsewhere() const;
 
     /// Sets whether this instance accepts new callers. Publishes a heartbeat if it changes.
@@ -92,6 +94,7 @@
     bool reachable_{false};
     bool heartbeat_in_flight_{false};
     bool publish_again_{false};
+    std::optional<time_ms> heartbeats_listed_at_;
     time_ms next_heartbeat_{};
 };
 
--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -96,6 +96,7 @@
     options.timing.batch_size = 1;
     options.timing.hint_interval = seconds(1);
     options.timing.unchanged_retry_delay = time_ms{300};
+    options.timing.demand_from_reservations = true;
     return options;
 }
 
@@ -255,11 +256,11 @@
         update_request_rate();
         update_serving();
         connections_.close_idle();
-        const auto instances = view_.instance_count();
-        grants_.set_instances(instances);
+        const auto fleet = view_.counts();
+        grants_.set_fleet(fleet, view_.is_settled());
         grants_.set_demand_elsewhere(view_.demand_elsewhere());
         for (auto& [service, budget] : context_.retry_budgets) {
-            budget.set_instances(instances);
+            budget.set_instances(fleet.live);
         }
         grants_.run();
         loop_.schedule(maintenance_interval, [this] { run_maintenance(); });
--- a/modules/gateway/grant_service.cpp
+++ b/modules/gateway/grant_service.cpp
@@ -52,6 +52,7 @@
     , pacer_{fleet_writes_per_s * grant_write_fraction}
     , random_{static_cast<std::minstd_rand::result_type>(hash64(incarnation_))}
 {
+    budgets_.set_stocks_ahead(false, loop_.now());
 }
 
 void grant_service::set_limits(const std::map<std::string, token_count>& limits)
@@ -358,12 +359,13 @@
     }
 }
 
-void grant_service::set_instances(std::int64_t instances)
+void grant_service::set_fleet(const instance_counts& fleet, bool is_settled)
 {
-    instances_ = instances;
-    budgets_.set_instances(instances);
-    budgets_.ceilings().set_instances(instances);
-    pacer_.set_instances(instances);
+    instances_ = fleet.listed;
+    budgets_.set_instances(fleet.listed);
+    budgets_.set_stocks_ahead(fleet.self_listed && is_settled, loop_.now());
+    budgets_.ceilings().set_instances(fleet.listed);
+    pacer_.set_fleet(fleet);
 }
 
 void grant_service::begin_close()
--- a/modules/gateway/grant_service.h
+++ b/modules/gateway/grant_service.h
@@ -75,9 +75,9 @@
         budgets_.set_store_reachable(reachable);
     }
 
-    /// Sets the number of live instances, among which remaining tokens and the rate of store writes
-    /// are divided.
-    void set_instances(std::int64_t instances);
+    /// Sets the instances among which remaining tokens and the rate of store writes are divided.
+    /// `is_settled`: the counts are no longer those of a fleet that is only just starting.
+    void set_fleet(const instance_counts& fleet, bool is_settled);
 
     /// Performs all store operations that are due and serves waiting requests. Call it
     /// periodically; it also runs after each reservation.
@@ -124,7 +124,7 @@
     std::list<waiter> waiters_;
     std::uint64_t last_waiter_id_{0};
     std::map<std::string, time_ms> last_wait_timeouts_; ///< by account: when a wait last timed out
-    std::int64_t instances_{1};
+    std::int64_t instances_{1};                         ///< that share the budgets
     int in_flight_{0};
     bool ceilings_unacknowledged_{false};
     std::int64_t spend_row_version_{0}; ///< of this incarnation's row; 0 before the first write
