--- a/modules/dispatch/server_directory.cpp
+++ b/modules/dispatch/server_directory.cpp
@@ -10,6 +10,10 @@
 {
 /// A live server registers again within about 2 s after the registry becomes reachable.
 constexpr time_ms registration_grace{2200};
+/// Time without a successful read of the registry from which registrations may have lapsed because
+/// of an outage: a server's lapses after three heartbeats of 1.2 s, one of which may have been due
+/// when the outage began. A read takes up to 1.7 s without an outage.
+constexpr time_ms min_lapse_time{2200};
 /// Consecutive transport failures, and error responses, from which on a server is avoided.
 constexpr int failures_before_avoidance = 2;
 constexpr int errors_before_avoidance = 4;
@@ -59,21 +63,19 @@
     expire(now);
 }
 
-void server_directory::set_registry_reachable(bool reachable, time_ms now)
+void server_directory::note_registry_read(time_ms now)
 {
-    if (reachable && !registry_reachable_) {
-        registry_reachable_since_ = now;
-        registry_was_unreachable_ = true;
+    if (last_registry_read_ && now - *last_registry_read_ >= min_lapse_time) {
+        last_outage_end_ = now;
     }
-    registry_reachable_ = reachable;
+    last_registry_read_ = now;
 }
 
 void server_directory::expire(time_ms now)
 {
-    const bool grace =
-        !registry_reachable_ ||
-        (registry_was_unreachable_ && now - registry_reachable_since_ < registration_grace);
-    if (grace) {
+    const bool in_outage = last_registry_read_ && now - *last_registry_read_ >= min_lapse_time;
+    const bool in_grace = last_outage_end_ && now - *last_outage_end_ < registration_grace;
+    if (in_outage || in_grace) {
         return;
     }
     std::erase_if(servers_, [](const auto& item) { return item.second.removed_at.has_value(); });
--- a/modules/dispatch/server_directory.h
+++ b/modules/dispatch/server_directory.h
@@ -42,8 +42,8 @@
 };
 
 /// The registered servers of all services, with the state this process has observed of them. A
-/// removed entry is kept while the registry is unreachable and for a grace period afterwards: its
-/// registration may only have lapsed, and a live server registers again.
+/// removed entry is kept while the registry is unreachable and for a grace period after an outage
+/// that was long enough for registrations to lapse: a live server registers again.
 class server_directory
 {
 public:
@@ -56,8 +56,8 @@
     /// Marks an entry as removed from the registry.
     void remove(std::string_view id, time_ms now);
 
-    /// Sets whether the registry is reachable.
-    void set_registry_reachable(bool reachable, time_ms now);
+    /// Records that the registry was read successfully. Call it before applying the changes.
+    void note_registry_read(time_ms now);
 
     /// Erases removed entries unless the grace period still runs.
     void expire(time_ms now);
@@ -97,9 +97,8 @@
     void avoid(server_state& state, int doublings, time_ms now);
 
     std::map<std::string, registration, std::less<>> servers_;
-    bool registry_reachable_{true};
-    time_ms registry_reachable_since_{};
-    bool registry_was_unreachable_{false};
+    std::optional<time_ms> last_registry_read_;
+    std::optional<time_ms> last_outage_end_;
 };
 
 } // namespace jujubevalve
--- a/modules/dispatch/tests/dispatch_tests.cpp
+++ b/modules/dispatch/tests/dispatch_tests.cpp
@@ -85,9 +85,9 @@
 // unreachable.
 TEST(server_directory, keeps_lapsed_entries_until_live_servers_have_registered_again)
 {
-    servers.set_registry_reachable(false, now);
+    servers.note_registry_read(now);
     now = now + seconds(8);
-    servers.set_registry_reachable(true, now);
+    servers.note_registry_read(now);
     servers.replace_all({entry("s2")}, now);
     CHECK_EQUAL(2U, candidate_count());
     now = now + seconds(1);
@@ -99,14 +99,30 @@
 
 TEST(server_directory, drops_lapsed_entries_that_do_not_return)
 {
-    servers.set_registry_reachable(false, now);
-    servers.set_registry_reachable(true, now);
+    servers.note_registry_read(now);
+    now = now + seconds(8);
+    servers.note_registry_read(now);
     servers.replace_all({entry("s2")}, now);
-    now = now + seconds(3);
+    for (int i = 0; i < 3; ++i) {
+        now = now + seconds(1);
+        servers.note_registry_read(now);
+    }
     servers.expire(now);
     CHECK_EQUAL(1U, candidate_count());
 }
 
+// Load pattern: a slow store. Reads take so long that it counts as unreachable every second, but a
+// server that was removed meanwhile must not get further work.
+TEST(server_directory, a_slow_registry_does_not_keep_removed_servers)
+{
+    for (int i = 0; i < 5; ++i) {
+        servers.note_registry_read(now);
+        now = now + time_ms{1000};
+    }
+    servers.remove("s1", now);
+    CHECK_EQUAL(1U, candidate_count());
+}
+
 TEST(server_directory, excludes_a_draining_server_from_the_candidates)
 {
     auto leaving = entry("s1");
--- a/modules/gateway/fleet_view.cpp
+++ b/modules/gateway/fleet_view.cpp
@@ -60,7 +60,12 @@
                    make_follow_options(wire::server_table, max_feed_wait, server_poll_delay),
                    {[this](const auto& rows) { replace_servers(rows); },
                     [this](const auto& rows) { update_servers(rows); },
-                    [this](bool reachable) { update_reachability(reachable); }}}
+                    [this](bool reachable) {
+                        if (reachable) {
+                            servers_.note_registry_read(loop_.now());
+                        }
+                        update_reachability(reachable);
+                    }}}
     , heartbeat_rows_{loop,
                       store,
                       make_follow_options(heartbeat_table, time_ms{1}, heartbeat_poll_delay),
@@ -210,7 +215,6 @@
         route_.note_failure();
     }
     instances_.set_reachable(reachable, loop_.now());
-    servers_.set_registry_reachable(reachable, loop_.now());
     if (on_reachable) {
         on_reachable(reachable);
     }
@@ -233,12 +237,16 @@
 
 void fleet_view::switch_route()
 {
+    const bool moved = store_.address() != route_.address();
     store_.use(route_.address());
     log_.write("store_way", log_fields{}.add("way", route_.address()), loop_.now());
     update_reachability(true);
-    // Requests in flight on the old route may never get a response.
     for (auto* follower : {&config_rows_, &server_rows_, &heartbeat_rows_}) {
-        follower->resume();
+        if (moved) {
+            follower->restart(); // the old route may never deliver a response
+        } else {
+            follower->resume();
+        }
     }
 }
 
--- a/modules/gateway/table_follower.cpp
+++ b/modules/gateway/table_follower.cpp
@@ -20,8 +20,16 @@
 }
 
 void table_follower::resume()
+{
+    if (!is_running_) {
+        restart();
+    }
+}
+
+void table_follower::restart()
 {
     ++attempt_;
+    is_running_ = true;
     loop_.cancel(std::exchange(timer_, 0));
     last_call_answered_ = false;
     read_next(attempt_);
@@ -39,6 +47,7 @@
 void table_follower::report_failure()
 {
     last_call_answered_ = false;
+    is_running_ = false;
     handlers_.call_completed(false);
 }
 
--- a/modules/gateway/table_follower.h
+++ b/modules/gateway/table_follower.h
@@ -40,6 +40,10 @@
     table_follower& operator=(const table_follower&) = delete;
 
     /// Starts reading, or continues after a failure. Ignores the response to a pending request.
+    void restart();
+
+    /// As restart(), but does nothing while a request is pending or due. On a slow link, restarting
+    /// a long transfer again and again would never complete it.
     void resume();
 
     /// Returns whether a full read has completed.
@@ -60,6 +64,7 @@
     bool listed_{false};
     bool can_follow_{false};         ///< the changes since version_ can be requested
     bool last_call_answered_{false}; ///< if so, the store may hold the next one
+    bool is_running_{false};         ///< false before the start and after a failure
     timer_id timer_{0};
 };
 
