Standins: hold the ports of gateways from their choice until the end

Cause: a site chose its gateways' ports by binding and closing a socket. Each of the about twenty sockets opened before the gateway listens may be given the same port; the gateway then ends before its first log line. Change: reserved_port keeps a port bound, without listening, while the site exists. The gateway listens with SO_REUSEADDR, which the kernel allows beside it, but gives the port to no one else.

--- a/modules/standins/site/site.cpp
+++ b/modules/standins/site/site.cpp
@@ -3,14 +3,9 @@
 #include "core/clock.h"
 #include "http/http_client.h"
 
-#include <arpa/inet.h>
 #include <chrono>
-#include <netinet/in.h>
 #include <nlohmann/json.hpp>
-#include <stdexcept>
-#include <sys/socket.h>
 #include <thread>
-#include <unistd.h>
 
 namespace jujubevalve::site
 {
@@ -19,23 +14,6 @@
 {
 using nlohmann::json;
 
-// Returns a loopback address with a port that was just free; another process may still take it.
-std::string free_address()
-{
-    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in local{};
-    local.sin_family = AF_INET;
-    local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof local;
-    const bool bound = ::bind(descriptor, reinterpret_cast<sockaddr*>(&local), size) == 0 &&
-                       ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&local), &size) == 0;
-    ::close(descriptor);
-    if (!bound) {
-        throw std::runtime_error{"no free port on loopback"};
-    }
-    return "127.0.0.1:" + std::to_string(ntohs(local.sin_port));
-}
-
 json route(const std::string& name, const std::string& prefix, const char* type,
            const char* service, int attempts, bool resumable)
 {
@@ -68,13 +46,14 @@
     for (int i = 0; i < options.plain_servers; ++i) {
         add("plain-" + std::to_string(i), "orders");
     }
+    const auto reserve_address = [this] { return reserved_ports_.emplace_back().address(); };
     for (int i = 0; i < options.gateways; ++i) {
         site_gateway made{"gateway-" + std::to_string(i),
-                          free_address(),
-                          free_address(),
-                          free_address(),
-                          free_address(),
-                          free_address(),
+                          reserve_address(),
+                          reserve_address(),
+                          reserve_address(),
+                          reserve_address(),
+                          reserve_address(),
                           std::make_unique<tcp_relay>(store_.address()),
                           nullptr,
                           nullptr};
--- a/modules/standins/site/site.h
+++ b/modules/standins/site/site.h
@@ -2,6 +2,7 @@
 
 #include "core/time_ms.h"
 #include "standins/child_process.h"
+#include "standins/reserved_port.h"
 #include "standins/site/run_tracker.h"
 #include "standins/site/server_standin.h"
 #include "standins/site/store_standin.h"
@@ -84,6 +85,7 @@
     store_standin store_;
     run_tracker tracker_;
     std::vector<site_server> servers_;
+    std::vector<reserved_port> reserved_ports_; ///< on which the gateways listen
     std::vector<site_gateway> gateways_;
     token_count prepaid_;
     int version_{0};
