Ceilings: let those of accounts without demand grow

Cause: the max growth of a ceiling was computed in whole numbers with the division first, so that it was 0 for a max headroom below 625 tokens and a multiple of 1000 tokens per second otherwise. An account that had no requests before the store failed got one request and then refusals, with two million tokens granted: "available 2186979, room_below_ceiling 191". Change: the limit is computed without truncation. Measured: the module test of a request per second fails before and passes after.

--- a/modules/dispatch/spend_ceilings.cpp
+++ b/modules/dispatch/spend_ceilings.cpp
@@ -17,7 +17,7 @@
 /// Growth as a multiple of the demand, which varies around its average within seconds.
 constexpr double growth_margin = 1.5;
 /// Max growth as a multiple of the max headroom, over the time until the growth becomes faster.
-constexpr std::int64_t max_growth_factor = 4;
+constexpr double max_growth_factor = 4;
 /// Time of faster growth after which the whole stock may be spent, in seconds.
 constexpr std::int64_t stock_spend_time_s = 5;
 } // namespace
@@ -75,11 +75,12 @@
     const auto growth = std::max(
         static_cast<token_count>(growth_margin * static_cast<double>(demand_in(seconds(1)))),
         facts.min_headroom);
-    const auto max_growth =
-        facts.max_headroom * max_growth_factor / spend_ceiling::late_growth_after.count() * 1000;
+    const auto max_growth = static_cast<double>(facts.max_headroom) * max_growth_factor /
+                            static_cast<double>(spend_ceiling::late_growth_after.count()) * 1000;
     return {facts.total +
                 std::min(std::max(demand_in(base_cover), facts.min_headroom), facts.max_headroom),
-            std::min(growth, max_growth),
+            static_cast<double>(growth) < max_growth ? growth
+                                                     : static_cast<token_count>(max_growth),
             std::max<token_count>(0, facts.stock) / stock_spend_time_s};
 }
 
--- a/modules/dispatch/tests/spend_tests.cpp
+++ b/modules/dispatch/tests/spend_tests.cpp
@@ -55,6 +55,16 @@
     }
 }
 
+// Guards against refusing the second request of an account that had none before the store failed.
+TEST(spend_ceilings, leave_room_for_a_request_per_second_without_demand)
+{
+    constexpr token_count request = 500;
+    publish({{"crew", 0, request, 0, request}});
+    for (int seconds_later = 0; seconds_later <= 10; ++seconds_later) {
+        CHECK(ceilings.allow("crew", request * (1 + seconds_later), now + seconds(seconds_later)));
+    }
+}
+
 // Guards against stranding many seconds' worth of tokens when all processes are killed at once.
 TEST(spend_ceilings, headroom_right_after_a_write_is_small)
 {
