Publish a digest of servers and instances in large fleets

Change: from 128 live instances on (--digest_min_instances), the two listed ones with the highest hash maintain a digest in the store; all others follow its changes, and read the source tables when its last status is older than 1.6 s. Unlisted instances write their heartbeat every 1.5 s. While no route to the store works, the probes of a large fleet are spaced. Writes of ceilings back off while the store refuses them. A reservation of a borrower whose end is not reported in 300 s is charged, since a digest does not show whether unlisted incarnations live. A locally held account asks its home while the store is away. Ruled out: a summary by failure domain leaves renewals N x servers (worked out, docs/platform.md). The tests of leaving servers counted connections that a refusing relay accepts, which is always none: they count the requests that the server receives now, and take the server that gets most of them.

--- a/modules/dispatch/instance_registry.cpp
+++ b/modules/dispatch/instance_registry.cpp
@@ -42,6 +42,18 @@
     }
 }
 
+void instance_registry::use_digest(std::vector<instance_heartbeat> listed,
+                                   std::int64_t live_instances, account_demand total_demand)
+{
+    peers_.clear();
+    digest_ = digest_facts{std::move(listed), live_instances, std::move(total_demand)};
+}
+
+void instance_registry::use_heartbeats()
+{
+    digest_.reset();
+}
+
 void instance_registry::set_reachable(bool reachable, time_ms now)
 {
     if (reachable && !store_reachable_) {
@@ -82,6 +94,17 @@
 std::vector<const instance_heartbeat*> instance_registry::listed(const instance_heartbeat& own,
                                                                  time_ms now) const
 {
+    if (digest_) {
+        std::vector<const instance_heartbeat*> found;
+        for (const auto& heartbeat : digest_->listed) {
+            if (heartbeat.instance != own_instance_) {
+                found.push_back(&heartbeat);
+            } else if (own.serving) {
+                found.push_back(&own);
+            }
+        }
+        return found;
+    }
     std::vector<const instance_heartbeat*> serving;
     if (own.serving) {
         serving.push_back(&own);
@@ -112,9 +135,27 @@
     return found;
 }
 
+std::vector<instance_heartbeat> instance_registry::listed_heartbeats(const instance_heartbeat& own,
+                                                                     time_ms now) const
+{
+    std::vector<instance_heartbeat> found;
+    for (const auto* heartbeat : listed(own, now)) {
+        found.push_back(*heartbeat);
+    }
+    return found;
+}
+
 std::vector<std::string> instance_registry::relays(time_ms now) const
 {
     std::vector<std::string> found;
+    if (digest_) {
+        for (const auto& heartbeat : digest_->listed) {
+            if (!heartbeat.relay.empty() && heartbeat.instance != own_instance_) {
+                found.push_back(heartbeat.relay);
+            }
+        }
+        return found;
+    }
     for (const auto& [instance, tracked] : peers_) {
         if (!tracked.heartbeat.relay.empty() && is_live(tracked, now)) {
             found.push_back(tracked.heartbeat.relay);
@@ -123,8 +164,17 @@
     return found;
 }
 
-account_demand instance_registry::demand_elsewhere(time_ms now) const
+account_demand instance_registry::demand_elsewhere(const instance_heartbeat& own, time_ms now) const
 {
+    if (digest_) {
+        auto rest = digest_->total_demand;
+        for (const auto& [account, demand] : own.demand) {
+            if (const auto found = rest.find(account); found != rest.end()) {
+                found->second = std::max<token_count>(0, found->second - demand);
+            }
+        }
+        return rest;
+    }
     account_demand sum;
     for (const auto& [instance, tracked] : peers_) {
         if (!is_live(tracked, now)) {
@@ -153,6 +203,9 @@
 
 bool instance_registry::is_live(std::string_view incarnation, time_ms now) const
 {
+    if (digest_) {
+        return true;
+    }
     return std::any_of(peers_.begin(), peers_.end(), [&](const auto& tracked) {
         return tracked.second.heartbeat.incarnation == incarnation && is_live(tracked.second, now);
     });
@@ -161,8 +214,13 @@
 instance_counts instance_registry::counts(const instance_heartbeat& own, time_ms now) const
 {
     instance_counts found;
-    found.live += std::count_if(peers_.begin(), peers_.end(),
-                                [&](const auto& tracked) { return is_live(tracked.second, now); });
+    if (digest_) {
+        found.live = std::max<std::int64_t>(1, digest_->live_instances);
+    } else {
+        found.live += std::count_if(peers_.begin(), peers_.end(), [&](const auto& tracked) {
+            return is_live(tracked.second, now);
+        });
+    }
     const auto heartbeats = listed(own, now);
     found.listed = std::max<std::int64_t>(1, static_cast<std::int64_t>(heartbeats.size()));
     found.self_listed = std::find(heartbeats.begin(), heartbeats.end(), &own) != heartbeats.end();
--- a/modules/dispatch/instance_registry.h
+++ b/modules/dispatch/instance_registry.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -59,6 +60,12 @@
     void observe(const instance_heartbeat& heartbeat, time_ms now);
     void remove(std::string_view instance);
 
+    /// Uses the listed instances and the totals of a digest from now on, instead of heartbeats.
+    void use_digest(std::vector<instance_heartbeat> listed, std::int64_t live_instances,
+                    account_demand total_demand);
+    /// Uses heartbeats from now on; those observed before are forgotten.
+    void use_heartbeats();
+
     /// Sets whether the store is reachable. When it becomes reachable again, the time without a
     /// heartbeat is counted from `now`.
     void set_reachable(bool reachable, time_ms now);
@@ -73,13 +80,18 @@
     [[nodiscard]] std::vector<std::string> relays(time_ms now) const;
 
     /// Returns the total demand of the other live instances, by account.
-    [[nodiscard]] account_demand demand_elsewhere(time_ms now) const;
+    [[nodiscard]] account_demand demand_elsewhere(const instance_heartbeat& own, time_ms now) const;
 
     /// Returns the listed instances that take reservations of other instances.
     [[nodiscard]] std::vector<home_candidate> home_candidates(const instance_heartbeat& own,
                                                               time_ms now) const;
 
-    /// Returns whether an incarnation of another instance is live.
+    /// Returns the listed instances' heartbeats.
+    [[nodiscard]] std::vector<instance_heartbeat> listed_heartbeats(const instance_heartbeat& own,
+                                                                    time_ms now) const;
+
+    /// Returns whether an incarnation of another instance is live; true for all while a digest is
+    /// used, which does not show all instances.
     [[nodiscard]] bool is_live(std::string_view incarnation, time_ms now) const;
 
     /// Returns the numbers of live and of listed instances, including this one.
@@ -101,7 +113,15 @@
 
     std::string own_instance_;
     instance_registry_options options_;
+    /// What a digest tells of the fleet.
+    struct digest_facts {
+        std::vector<instance_heartbeat> listed;
+        std::int64_t live_instances{1};
+        account_demand total_demand;
+    };
+
     std::map<std::string, peer, std::less<>> peers_;
+    std::optional<digest_facts> digest_;
     bool store_reachable_{true};
     time_ms store_reachable_since_{};
 };
--- a/modules/dispatch/lent_reservations.cpp
+++ b/modules/dispatch/lent_reservations.cpp
@@ -4,9 +4,9 @@
 {
 
 void lent_reservations::add(const std::string& borrower, std::uint64_t number,
-                            reservation_id reservation)
+                            reservation_id reservation, time_ms now)
 {
-    by_borrower_[borrower][number] = reservation;
+    by_borrower_[borrower][number] = {reservation, now};
 }
 
 std::optional<reservation_id> lent_reservations::take(std::string_view borrower,
@@ -20,7 +20,7 @@
     if (found == reservations->second.end()) {
         return std::nullopt;
     }
-    const auto reservation = found->second;
+    const auto reservation = found->second.reservation;
     reservations->second.erase(found);
     if (reservations->second.empty()) {
         by_borrower_.erase(reservations);
@@ -35,13 +35,29 @@
     if (reservations == by_borrower_.end()) {
         return taken;
     }
-    for (const auto& [number, reservation] : reservations->second) {
-        taken.push_back(reservation);
+    for (const auto& [number, entry] : reservations->second) {
+        taken.push_back(entry.reservation);
     }
     by_borrower_.erase(reservations);
     return taken;
 }
 
+std::vector<reservation_id> lent_reservations::take_older_than(time_ms cutoff)
+{
+    std::vector<reservation_id> taken;
+    for (auto& [borrower, entries] : by_borrower_) {
+        std::erase_if(entries, [&](const auto& entry) {
+            if (entry.second.added_at >= cutoff) {
+                return false;
+            }
+            taken.push_back(entry.second.reservation);
+            return true;
+        });
+    }
+    std::erase_if(by_borrower_, [](const auto& entry) { return entry.second.empty(); });
+    return taken;
+}
+
 std::vector<std::string> lent_reservations::borrowers() const
 {
     std::vector<std::string> found;
--- a/modules/dispatch/lent_reservations.h
+++ b/modules/dispatch/lent_reservations.h
@@ -19,7 +19,8 @@
 class lent_reservations
 {
 public:
-    void add(const std::string& borrower, std::uint64_t number, reservation_id reservation);
+    void add(const std::string& borrower, std::uint64_t number, reservation_id reservation,
+             time_ms now);
 
     /// Removes and returns a reservation; nothing if it has ended or never existed.
     [[nodiscard]] std::optional<reservation_id> take(std::string_view borrower,
@@ -28,13 +29,21 @@
     /// Removes and returns all reservations of an incarnation that has terminated.
     [[nodiscard]] std::vector<reservation_id> take_all(std::string_view borrower);
 
+    /// Removes and returns the reservations that were added before `cutoff`.
+    [[nodiscard]] std::vector<reservation_id> take_older_than(time_ms cutoff);
+
     /// Returns the incarnations that have reservations.
     [[nodiscard]] std::vector<std::string> borrowers() const;
 
     [[nodiscard]] std::size_t size() const;
 
 private:
-    std::map<std::string, std::map<std::uint64_t, reservation_id>, std::less<>> by_borrower_;
+    struct lent {
+        reservation_id reservation{0};
+        time_ms added_at{};
+    };
+
+    std::map<std::string, std::map<std::uint64_t, lent>, std::less<>> by_borrower_;
 };
 
 } // namespace jujubevalve
--- a/modules/dispatch/own_demand.cpp
+++ b/modules/dispatch/own_demand.cpp
@@ -9,8 +9,9 @@
 constexpr time_ms min_averaging_age{1000};
 /// Below this rate the delay of asking a home matters less than tokens that lie idle here.
 constexpr double min_requests_per_s = 4;
-/// Fraction (1/n) of the account's demand from which on it counts as mostly local.
-constexpr double min_share_divisor = 3;
+/// Own demand, as a fraction of the published demand of the other instances, from which on an
+/// account is held here.
+constexpr double min_share = 1.0 / 3;
 /// Scale of the request rate, which demand_rate counts in whole units.
 constexpr token_count request_unit = 1000;
 } // namespace
@@ -32,11 +33,11 @@
     std::set<std::string, std::less<>> found;
     for (const auto& [account, state] : accounts_) {
         const auto requests_per_s = state.requests.per_ms(now) * 1000 / request_unit;
-        const auto other = elsewhere.find(account);
+        const auto tokens_per_s = state.tokens.per_ms(now) * 1000;
+        const auto published = elsewhere.find(account);
         const auto others_per_s =
-            other == elsewhere.end() ? 0.0 : static_cast<double>(other->second);
-        if (requests_per_s >= min_requests_per_s &&
-            state.tokens.per_ms(now) * 1000 * min_share_divisor >= others_per_s) {
+            published == elsewhere.end() ? 0.0 : static_cast<double>(published->second);
+        if (requests_per_s >= min_requests_per_s && tokens_per_s >= min_share * others_per_s) {
             found.insert(account);
         }
     }
--- a/modules/dispatch/own_demand.h
+++ b/modules/dispatch/own_demand.h
@@ -14,9 +14,9 @@
 {
 
 /// Measures the demand of this instance's own callers and finds the accounts for which it should
-/// hold grants itself, although another instance is their home: those whose callers mostly connect
-/// here. Asking the home for each of their requests would add its delay to most of the account's
-/// traffic.
+/// hold grants itself, although another instance is their home: those of which much of the demand
+/// comes from here. Asking the home for each of these requests would add its delay to them, and
+/// much to them if they fill this machine's link.
 class own_demand
 {
 public:
--- a/modules/dispatch/server_directory.cpp
+++ b/modules/dispatch/server_directory.cpp
@@ -92,6 +92,16 @@
     return found;
 }
 
+std::vector<server_entry> server_directory::entries() const
+{
+    std::vector<server_entry> found;
+    found.reserve(servers_.size());
+    for (const auto& [id, registration] : servers_) {
+        found.push_back(registration.state->entry);
+    }
+    return found;
+}
+
 server_state* server_directory::find(std::string_view id)
 {
     const auto found = servers_.find(id);
--- a/modules/dispatch/server_directory.h
+++ b/modules/dispatch/server_directory.h
@@ -85,6 +85,9 @@
     /// Adds a latency to the server's moving average.
     void add_latency(std::string_view id, time_ms latency);
 
+    /// Returns the entries of all registered servers, also of leaving ones.
+    [[nodiscard]] std::vector<server_entry> entries() const;
+
     [[nodiscard]] std::size_t size() const { return servers_.size(); }
 
 private:
--- a/modules/dispatch/store_route.cpp
+++ b/modules/dispatch/store_route.cpp
@@ -9,6 +9,11 @@
 {
 /// Interval of probes of the direct route while a relay is in use.
 constexpr time_ms direct_probe_interval{1000};
+/// Interval of each instance's probes per instance of the fleet while no route works, so that all
+/// of them together make about 250 probes of the store per second.
+constexpr time_ms probe_spacing{4};
+/// Up to this fleet size, instances probe whenever they are asked to.
+constexpr std::int64_t max_unspaced_instances = 128;
 } // namespace
 
 store_route::store_route(std::string store)
@@ -22,13 +27,22 @@
     relays_ = std::move(addresses);
 }
 
+void store_route::set_instances(std::int64_t instances)
+{
+    lost_route_interval_ =
+        instances > max_unspaced_instances ? probe_spacing * instances : time_ms{0};
+}
+
 std::vector<std::string> store_route::next_probes(time_ms now)
 {
     std::vector<std::string> found;
-    if (!is_working_ || (!is_direct() && now >= next_direct_probe_)) {
-        found.push_back(store_);
-        next_direct_probe_ = now + direct_probe_interval;
+    const auto interval = is_working_ ? direct_probe_interval : lost_route_interval_;
+    if ((is_working_ && is_direct()) ||
+        (last_direct_probe_ && now - *last_direct_probe_ < interval)) {
+        return found;
     }
+    found.push_back(store_);
+    last_direct_probe_ = now;
     if (!is_working_ && !relay_probe_in_flight_ && !relays_.empty()) {
         next_relay_ %= relays_.size();
         found.push_back(relays_[next_relay_++]);
--- a/modules/dispatch/store_route.h
+++ b/modules/dispatch/store_route.h
@@ -3,7 +3,9 @@
 #include "core/time_ms.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,6 +24,9 @@
     /// Sets the relay addresses of the other instances. They are probed in this order.
     void set_relays(std::vector<std::string> addresses);
 
+    /// Sets the fleet size; the more instances there are, the less often each probes.
+    void set_instances(std::int64_t instances);
+
     /// Returns the address of the route in use; the last that worked if none does.
     [[nodiscard]] const std::string& address() const { return address_; }
     [[nodiscard]] bool is_direct() const { return address_ == store_; }
@@ -46,7 +51,8 @@
     std::vector<std::string> relays_;
     std::size_t next_relay_{0};
     bool relay_probe_in_flight_{false};
-    time_ms next_direct_probe_{};
+    std::optional<time_ms> last_direct_probe_;
+    time_ms lost_route_interval_{}; ///< between probes while no route works
 };
 
 } // namespace jujubevalve
--- a/modules/dispatch/tests/account_homes_tests.cpp
+++ b/modules/dispatch/tests/account_homes_tests.cpp
@@ -115,7 +115,7 @@
 // Guards against crediting a reservation twice when its end is reported twice.
 TEST(lent_reservations, a_reservation_ends_once)
 {
-    lent.add("a-1", 7, 70);
+    lent.add("a-1", 7, 70, time_ms{0});
     CHECK(lent.take("a-1", 7) == reservation_id{70});
     CHECK_FALSE(lent.take("a-1", 7).has_value());
     CHECK_FALSE(lent.take("b-1", 7).has_value());
@@ -126,14 +126,24 @@
 // predecessor.
 TEST(lent_reservations, a_terminated_incarnation_loses_only_its_own)
 {
-    lent.add("a-1", 1, 10);
-    lent.add("a-1", 2, 20);
-    lent.add("a-2", 1, 30);
+    lent.add("a-1", 1, 10, time_ms{0});
+    lent.add("a-1", 2, 20, time_ms{0});
+    lent.add("a-2", 1, 30, time_ms{0});
     CHECK((lent.take_all("a-1") == std::vector<reservation_id>{10, 20}));
     CHECK_EQUAL(1U, lent.size());
     CHECK(lent.take("a-2", 1) == reservation_id{30});
 }
 
+// Guards against tokens that stay reserved for ever when the end of a reservation is never
+// reported.
+TEST(lent_reservations, old_reservations_are_taken_back)
+{
+    lent.add("a-1", 1, 10, time_ms{1'000});
+    lent.add("a-1", 2, 20, time_ms{9'000});
+    CHECK((lent.take_older_than(time_ms{5'000}) == std::vector<reservation_id>{10}));
+    CHECK_EQUAL(1U, lent.size());
+}
+
 TEST_GROUP(own_demand)
 {
     own_demand demand;
@@ -153,8 +163,9 @@
 TEST(own_demand, an_account_whose_callers_are_here_is_held_here)
 {
     send("crew", 40, seconds(5));
-    CHECK(demand.local_accounts({{"crew", 40'000}}, now).contains("crew")); // as the home sees it
-    CHECK(demand.local_accounts({}, now).contains("crew"));                 // afterwards
+    // As the home sees it, and afterwards.
+    CHECK(demand.local_accounts({{"crew", 40'000}}, now).contains("crew"));
+    CHECK(demand.local_accounts({}, now).contains("crew"));
 }
 
 TEST(own_demand, an_account_whose_callers_are_spread_is_left_to_its_home)
@@ -162,11 +173,12 @@
     send("crew", 10, seconds(5));
     CHECK_FALSE(demand.local_accounts({{"crew", 80'000}}, now).contains("crew"));
     send("office", 1, seconds(5));
-    CHECK_FALSE(demand.local_accounts({}, now).contains("office"));
+    CHECK_FALSE(demand.local_accounts({{"office", 1'000}}, now).contains("office"));
 }
 
 TEST(own_demand, an_account_whose_callers_have_left_goes_back_to_its_home)
 {
     send("crew", 40, seconds(5));
+    CHECK(demand.local_accounts({{"crew", 40'000}}, now).contains("crew"));
     CHECK_FALSE(demand.local_accounts({}, now + seconds(20)).contains("crew"));
 }
--- a/modules/dispatch/tests/store_route_tests.cpp
+++ b/modules/dispatch/tests/store_route_tests.cpp
@@ -76,3 +76,17 @@
     CHECK_FALSE(route.is_working());
     CHECK_FALSE(route.next_probes(now).empty());
 }
+
+// Load pattern: hundreds of instances are cut off at once and look for the store's return.
+TEST(store_route, a_large_fleet_probes_less_often)
+{
+    constexpr int instances = 300;
+    lose_direct_route();
+    route.set_instances(instances);
+    int probes = 0;
+    for (int tick = 0; tick < 40; ++tick) { // 10 s
+        probes += static_cast<int>(route.next_probes(now + time_ms{250 * tick}).size());
+    }
+    CHECK(probes * instances <= 250 * 10 + instances);
+    CHECK(probes >= 5);
+}
--- a/modules/gateway/fleet_view.cpp
+++ b/modules/gateway/fleet_view.cpp
@@ -30,6 +30,17 @@
 /// Small against the second or more within which a leaving server must stop receiving work.
 constexpr time_ms server_poll_delay{200};
 
+/// Age at which the digest counts as outdated. Small against the three seconds or more within which
+/// an instance of a large fleet must have noticed that a server leaves.
+constexpr time_ms max_digest_age{1600};
+/// Time for which the digest must have been fresh before it is used, so that instances do not
+/// change their source back and forth.
+constexpr time_ms digest_trial_time{1500};
+/// Age of the first publisher's stamp from which on the second one publishes.
+constexpr time_ms publisher_takeover_age{1100};
+/// Heartbeat interval of an instance that is not listed while a digest is in use.
+constexpr time_ms unlisted_heartbeat_interval{1500};
+
 std::string heartbeat_key(const std::string& instance)
 {
     return std::string{heartbeat_table} + "/" + instance;
@@ -71,10 +82,19 @@
                       make_follow_options(heartbeat_table, time_ms{1}, heartbeat_poll_delay),
                       {[this](const auto& rows) {
                            heartbeats_listed_at_ = heartbeats_listed_at_.value_or(loop_.now());
+                           instances_.use_heartbeats();
                            apply_heartbeats(rows);
                        },
                        [this](const auto& rows) { apply_heartbeats(rows); },
                        [this](bool reachable) { update_reachability(reachable); }}}
+    , digest_{loop,
+              store,
+              log,
+              settings.instance,
+              {[this](const auto& id, const auto& content) { apply_digest_server(id, content); },
+               [this] { apply_digest(); },
+               [this](bool reachable) { update_reachability(reachable); }}}
+    , digest_min_instances_{settings.digest_min_instances}
     , route_{settings.store}
 {
     own_heartbeat_.relay = settings.relay_listen;
@@ -118,7 +138,7 @@
 
 account_demand fleet_view::demand_elsewhere() const
 {
-    return instances_.demand_elsewhere(loop_.now());
+    return instances_.demand_elsewhere(own_heartbeat_, loop_.now());
 }
 
 void fleet_view::set_serving(bool serving)
@@ -226,6 +246,9 @@
         route_.note_failure();
     }
     instances_.set_reachable(reachable, loop_.now());
+    if (reachable) {
+        reachable_since_ = loop_.now();
+    }
     if (on_reachable) {
         on_reachable(reachable);
     }
@@ -237,6 +260,7 @@
 void fleet_view::probe_routes()
 {
     route_.set_relays(instances_.relays(loop_.now()));
+    route_.set_instances(counts().live);
     for (const auto& address : route_.next_probes(loop_.now())) {
         store_.probe(address, [this, address](bool answers) {
             if (route_.probed(address, answers)) {
@@ -252,13 +276,176 @@
     store_.use(route_.address());
     log_.write("store_way", log_fields{}.add("way", route_.address()), loop_.now());
     update_reachability(true);
-    for (auto* follower : {&config_rows_, &server_rows_, &heartbeat_rows_}) {
+    std::vector<table_follower*> followers{&config_rows_};
+    if (!uses_digest_) {
+        followers.push_back(&server_rows_);
+        followers.push_back(&heartbeat_rows_);
+    }
+    for (auto* follower : followers) {
         if (moved) {
             follower->restart(); // the old route may never deliver a response
         } else {
             follower->resume();
         }
     }
+    if (moved) {
+        digest_.restart();
+    } else {
+        digest_.resume();
+    }
+}
+
+bool fleet_view::is_digest_usable() const
+{
+    const auto age = loop_.now() - std::max(digest_fresh_at_, reachable_since_);
+    return !reachable_ || age <= max_digest_age;
+}
+
+std::optional<std::size_t> fleet_view::own_publisher_rank() const
+{
+    std::vector<std::string> listed;
+    for (const auto& heartbeat : instances_.listed_heartbeats(own_heartbeat_, loop_.now())) {
+        listed.push_back(heartbeat.instance);
+    }
+    return publisher_rank(listed, own_heartbeat_.instance);
+}
+
+void fleet_view::choose_source()
+{
+    if (!knows_instances()) {
+        return;
+    }
+    const auto now = loop_.now();
+    const bool is_large = counts().live >= digest_min_instances_;
+    const auto rank = is_large ? own_publisher_rank() : std::nullopt;
+    if (is_large) {
+        digest_.follow();
+    }
+    (digest_.is_fresh(max_digest_age) ? digest_fresh_at_ : digest_stale_at_) = now;
+    if (uses_digest_ && (rank || !is_large || !is_digest_usable())) {
+        use_heartbeats();
+    } else if (!uses_digest_ && is_large && !rank && reachable_ && digest_fresh_at_ == now &&
+               (!used_digest_before_ || now - digest_stale_at_ >= digest_trial_time)) {
+        use_digest();
+    }
+    if (rank && !uses_digest_ && server_rows_.is_listed() && heartbeat_rows_.is_listed()) {
+        const auto* const status = digest_.latest_status();
+        const auto store_time = store_.store_time();
+        const bool is_first_silent = status == nullptr || !store_time ||
+                                     *store_time - status->stamp > publisher_takeover_age;
+        if (*rank == 0 || is_first_silent) {
+            publish_digest();
+        }
+    }
+}
+
+void fleet_view::use_digest()
+{
+    uses_digest_ = true;
+    used_digest_before_ = true;
+    log_.write("source", log_fields{}.add("uses", "digest"), loop_.now());
+    server_rows_.pause();
+    heartbeat_rows_.pause();
+    std::vector<server_entry> entries;
+    for (const auto& [id, content] : digest_.servers()) {
+        if (auto entry = decode_digest_server(id, content)) {
+            entries.push_back(std::move(entry).value());
+        }
+    }
+    servers_.note_registry_read(loop_.now());
+    servers_.replace_all(entries, loop_.now());
+    apply_digest();
+}
+
+void fleet_view::use_heartbeats()
+{
+    uses_digest_ = false;
+    log_.write("source", log_fields{}.add("uses", "heartbeats"), loop_.now());
+    digest_stale_at_ = loop_.now();
+    server_rows_.start_over();
+    heartbeat_rows_.start_over();
+}
+
+void fleet_view::apply_digest_server(const std::string& id,
+                                     const std::optional<std::string>& content)
+{
+    if (!uses_digest_) {
+        return;
+    }
+    auto entry = content ? decode_digest_server(id, *content) : result<server_entry>{failure{}};
+    if (!entry) {
+        servers_.remove(id, loop_.now());
+        log_.write("server_gone", log_fields{}.add("server", id).add("source", "digest"),
+                   loop_.now());
+        return;
+    }
+    log_.write("server",
+               log_fields{}
+                   .add("server", id)
+                   .add("source", "digest")
+                   .add("leaving", static_cast<int>(entry->leaving))
+                   .add("address", entry->address),
+               loop_.now());
+    servers_.put(std::move(entry).value(), loop_.now());
+}
+
+void fleet_view::apply_digest()
+{
+    const auto* const status = digest_.latest_status();
+    if (!uses_digest_ || status == nullptr) {
+        return;
+    }
+    std::vector<instance_heartbeat> listed;
+    for (const auto& [name, content] : digest_.instances()) {
+        if (auto heartbeat = decode_heartbeat(content)) {
+            listed.push_back(std::move(heartbeat).value());
+        }
+    }
+    instances_.use_digest(std::move(listed), status->live_instances, status->demand);
+    if (status->stamp > last_stamp_) {
+        last_stamp_ = status->stamp;
+        servers_.note_registry_read(loop_.now());
+        for (const auto& account : status->short_accounts) {
+            if (on_shortage_elsewhere) {
+                on_shortage_elsewhere(account);
+            }
+        }
+    }
+}
+
+void fleet_view::publish_digest()
+{
+    const auto now = loop_.now();
+    digest_source servers{fleet_digest_service::server_prefix, server_rows_.version(), {}};
+    for (const auto& entry : servers_.entries()) {
+        servers.contents[fleet_digest_service::server_prefix + entry.id] =
+            encode_digest_server(entry);
+    }
+    digest_source instances{fleet_digest_service::instance_prefix, heartbeat_rows_.version(), {}};
+    digest_status status;
+    for (auto heartbeat : instances_.listed_heartbeats(own_heartbeat_, now)) {
+        status.short_accounts.insert(status.short_accounts.end(), heartbeat.short_accounts.begin(),
+                                     heartbeat.short_accounts.end());
+        // What changes all the time is summed up in the status.
+        heartbeat.number = 0;
+        heartbeat.request_rate = 0;
+        heartbeat.demand.clear();
+        heartbeat.short_accounts.clear();
+        instances.contents[fleet_digest_service::instance_prefix + heartbeat.instance] =
+            encode_heartbeat(heartbeat);
+    }
+    status.live_instances = counts().live;
+    status.demand = demand_elsewhere();
+    for (const auto& [account, demand] : own_heartbeat_.demand) {
+        status.demand[account] += demand;
+    }
+    status.stamp = sources_read_at();
+    digest_.publish({std::move(servers), std::move(instances)}, status);
+}
+
+time_ms fleet_view::sources_read_at() const
+{
+    return std::min(server_rows_.read_at(), heartbeat_rows_.read_at());
 }
 
 void fleet_view::tick()
@@ -268,6 +455,7 @@
     }
     probe_routes();
     servers_.expire(loop_.now());
+    choose_source();
     if (loop_.now() >= next_heartbeat_) {
         publish_heartbeat();
     }
@@ -281,7 +469,9 @@
         return;
     }
     heartbeat_in_flight_ = true;
-    next_heartbeat_ = loop_.now() + heartbeat_interval;
+    const bool is_unlisted = uses_digest_ && !counts().self_listed;
+    next_heartbeat_ =
+        loop_.now() + (is_unlisted ? unlisted_heartbeat_interval : heartbeat_interval);
     ++own_heartbeat_.number;
     if (own_demand) {
         own_heartbeat_.demand = own_demand();
--- a/modules/gateway/fleet_view.h
+++ b/modules/gateway/fleet_view.h
@@ -5,6 +5,7 @@
 #include "dispatch/server_directory.h"
 #include "dispatch/store_route.h"
 #include "gateway/decision_log.h"
+#include "gateway/fleet_digest_service.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/table_follower.h"
@@ -79,6 +80,16 @@
     void replace_servers(const std::vector<stored_row>& rows);
     void update_servers(const std::vector<stored_row>& rows);
     void apply_heartbeats(const std::vector<stored_row>& rows);
+    void apply_digest_server(const std::string& id, const std::optional<std::string>& content);
+    void apply_digest();
+    void choose_source();
+    void use_digest();
+    void use_heartbeats();
+    void publish_digest();
+    [[nodiscard]] std::optional<std::size_t> own_publisher_rank() const;
+    [[nodiscard]] bool is_digest_usable() const;
+    /// Returns the store time up to which servers and heartbeats have been read.
+    [[nodiscard]] time_ms sources_read_at() const;
     void update_reachability(bool reachable);
     void probe_routes();
     void switch_route();
@@ -96,6 +107,14 @@
     table_follower config_rows_;
     table_follower server_rows_;
     table_follower heartbeat_rows_;
+    fleet_digest_service digest_;
+    std::int64_t digest_min_instances_;
+    bool uses_digest_{false};
+    bool used_digest_before_{false};
+    time_ms digest_fresh_at_{}; ///< when the digest was last seen to be fresh
+    time_ms digest_stale_at_{}; ///< when it was last seen not to be
+    time_ms reachable_since_{};
+    time_ms last_stamp_{}; ///< of the digest status that was applied last
     store_route route_;
     bool reachable_{false};
     bool heartbeat_in_flight_{false};
--- a/modules/gateway/grant_service.cpp
+++ b/modules/gateway/grant_service.cpp
@@ -14,6 +14,8 @@
 constexpr int max_in_flight = 16;
 /// Fraction of the store's write rate used for grants; the rest is for heartbeats and ceilings.
 constexpr double grant_write_fraction = 0.5;
+/// Ceilings are written as often as requests need them, but not while the store refuses them.
+constexpr double unlimited_rate_per_s = 1e9;
 /// Delay before the next run() while requests wait for tokens.
 constexpr time_ms waiting_run_delay{8};
 /// For this long after a wait has timed out, further requests of the account wait only a fraction
@@ -50,6 +52,7 @@
     , address_{std::move(address)}
     , budgets_{incarnation_, options}
     , pacer_{fleet_writes_per_s * grant_write_fraction}
+    , ceiling_pacer_{unlimited_rate_per_s}
     , random_{static_cast<std::minstd_rand::result_type>(hash64(incarnation_))}
 {
     set_stocks_ahead(false);
@@ -176,10 +179,14 @@
     if (!store_time || (ceilings_unacknowledged_ && !store_reachable_)) {
         return;
     }
+    if (!ceiling_pacer_.may_call(now)) {
+        return; // run() is called again, at the latest by the maintenance of the process
+    }
     const auto ceilings = budgets_.ceilings().plan(budgets_.spend(now), now);
     if (!ceilings) {
         return;
     }
+    ceiling_pacer_.called();
     const spend_row row{incarnation_, address_, *store_time, *ceilings};
     budgets_.ceilings().sent(*ceilings, now);
     // Conditional on the row's version, so that an earlier write whose acknowledgement was lost
@@ -191,11 +198,15 @@
                       if (is_committed) {
                           spend_row_version_ = done.outcome.versions.at(0);
                           budgets_.ceilings().acknowledged();
+                          ceiling_pacer_.answered();
                       } else {
                           for (const auto& current_row : done.current) {
                               spend_row_version_ = current_row.version;
                           }
                           budgets_.ceilings().failed();
+                          if (done.outcome.outcome != commit_outcome::conflict) {
+                              ceiling_pacer_.refused(loop_.now());
+                          }
                       }
                       schedule_run(time_ms{0});
                   });
--- a/modules/gateway/grant_service.h
+++ b/modules/gateway/grant_service.h
@@ -98,6 +98,8 @@
         budgets_.set_stocks_ahead(stocks_ahead, loop_.now());
     }
 
+    [[nodiscard]] bool is_store_reachable() const { return store_reachable_; }
+
     /// Returns whether the own grant covers a request now.
     [[nodiscard]] bool covers(std::string_view account, token_count tokens) const
     {
@@ -144,7 +146,8 @@
     std::string incarnation_;
     std::string address_;
     account_budgets budgets_;
-    call_pacer pacer_;
+    call_pacer pacer_;         ///< of grant writes
+    call_pacer ceiling_pacer_; ///< backs off from ceiling writes that are refused
     std::minstd_rand random_;
     std::list<waiter> waiters_;
     std::uint64_t last_waiter_id_{0};
--- a/modules/gateway/reservation_service.cpp
+++ b/modules/gateway/reservation_service.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t max_sessions = 1024;
 /// Ends of reservations are kept this long for a home that cannot be reached.
 constexpr time_ms max_report_time{30'000};
+/// Longer than any request runs. A borrower that has not ended a reservation by then never will.
+constexpr time_ms max_reservation_age{300'000};
 /// Time without a heartbeat after which an incarnation counts as terminated.
 constexpr time_ms termination_delay{10'000};
 } // namespace
@@ -172,7 +174,8 @@
                     return;
                 }
                 if (outcome) {
-                    owner.lent_.add(found->second->borrower_, number, outcome.id);
+                    owner.lent_.add(found->second->borrower_, number, outcome.id,
+                                    owner.loop_.now());
                 } else {
                     owner.grants_.log_refusal(
                         found->second->borrower_ + "/" + std::to_string(number), account, tokens);
@@ -241,6 +244,12 @@
     auto accounts = own_demand_.local_accounts(elsewhere, loop_.now());
     if (accounts != local_accounts_) {
         local_accounts_ = std::move(accounts);
+        log_fields fields;
+        for (const auto& account : local_accounts_) {
+            const auto published = elsewhere.find(account);
+            fields.add(account, published == elsewhere.end() ? 0 : published->second);
+        }
+        log_.write("local_accounts", fields, loop_.now());
         update_roles();
     }
 }
@@ -266,6 +275,9 @@
     const std::function<bool(const std::string& incarnation)>& is_live)
 {
     const auto now = loop_.now();
+    for (const auto reservation : lent_.take_older_than(now - max_reservation_age)) {
+        grants_.settle_in_full(reservation);
+    }
     const auto borrowers = lent_.borrowers();
     std::erase_if(not_live_since_, [&](const auto& entry) {
         return is_live(entry.first) ||
@@ -288,24 +300,25 @@
 std::uint64_t reservation_service::reserve(const std::string& account, token_count tokens,
                                            time_ms max_wait, reserve_callback callback)
 {
-    own_demand_.add(account, tokens, loop_.now());
-    const auto rank = homes_.own_rank(account);
-    if (homes_.empty() || rank == 0U || local_accounts_.contains(account) ||
+    const auto now = loop_.now();
+    own_demand_.add(account, tokens, now);
+    const auto id = ++last_waiter_;
+    auto& waiting = waiters_[id];
+    waiting.account = account;
+    waiting.tokens = tokens;
+    waiting.deadline = now + max_wait;
+    waiting.callback = std::move(callback);
+    // While the store is away, a local stock that is used up cannot be refilled, but the home may
+    // have tokens left.
+    const bool is_held_here = local_accounts_.contains(account) && grants_.is_store_reachable();
+    if (homes_.empty() || homes_.own_rank(account) == 0U || is_held_here ||
         grants_.covers(account, tokens)) {
-        // No id is needed to tell own waits from the others: those of grant_service are kept here.
-        const auto id = ++last_waiter_;
-        auto& waiting = waiters_[id];
-        waiting = {account, tokens, loop_.now() + max_wait, std::move(callback), {}, {}, 0, 0, 0};
         ask_own_grant(id);
-        return waiters_.contains(id) ? id : 0;
+    } else {
+        waiting.homes = homes_.homes(account, now);
+        std::reverse(waiting.homes.begin(), waiting.homes.end());
+        ask_next_home(id);
     }
-    const auto id = ++last_waiter_;
-    auto homes = homes_.homes(account, loop_.now());
-    std::reverse(homes.begin(), homes.end());
-    waiters_[id] = {
-        account, tokens, loop_.now() + max_wait, std::move(callback), std::move(homes), {}, 0,
-        0,       0};
-    ask_next_home(id);
     return waiters_.contains(id) ? id : 0;
 }
 
--- a/modules/gateway/table_follower.cpp
+++ b/modules/gateway/table_follower.cpp
@@ -21,15 +21,30 @@
 
 void table_follower::resume()
 {
-    if (!is_running_) {
+    if (!is_running_ && !is_paused_) {
         restart();
     }
 }
 
+void table_follower::pause()
+{
+    ++attempt_;
+    loop_.cancel(std::exchange(timer_, 0));
+    is_running_ = false;
+    is_paused_ = true;
+}
+
+void table_follower::start_over()
+{
+    can_follow_ = false;
+    restart();
+}
+
 void table_follower::restart()
 {
     ++attempt_;
     is_running_ = true;
+    is_paused_ = false;
     loop_.cancel(std::exchange(timer_, 0));
     last_call_answered_ = false;
     read_next(attempt_);
@@ -71,6 +86,7 @@
                         return;
                     }
                     version_ = page->version;
+                    read_at_ = page->store_time;
                     listed_ = true;
                     can_follow_ = true;
                     last_call_answered_ = true;
@@ -97,6 +113,7 @@
             return;
         }
         version_ = response.page->version;
+        read_at_ = response.page->store_time;
         last_call_answered_ = true;
         handlers_.call_completed(true);
         if (!response.page->rows.empty()) {
--- a/modules/gateway/table_follower.h
+++ b/modules/gateway/table_follower.h
@@ -46,6 +46,18 @@
     /// a long transfer again and again would never complete it.
     void resume();
 
+    /// Stops reading until restart() or start_over().
+    void pause();
+
+    /// As restart(), but reads all rows again instead of the changes since the last read.
+    void start_over();
+
+    /// Returns the version up to which the changes have been read.
+    [[nodiscard]] std::int64_t version() const { return version_; }
+
+    /// Returns the store time of the last response.
+    [[nodiscard]] time_ms read_at() const { return read_at_; }
+
     /// Returns whether a full read has completed.
     [[nodiscard]] bool is_listed() const { return listed_; }
 
@@ -61,10 +73,12 @@
     handlers handlers_;
     std::int64_t attempt_{0}; ///< responses to earlier attempts are ignored
     std::int64_t version_{0};
+    time_ms read_at_{};
     bool listed_{false};
     bool can_follow_{false};         ///< the changes since version_ can be requested
     bool last_call_answered_{false}; ///< if so, the store may hold the next one
     bool is_running_{false};         ///< false before the start and after a failure
+    bool is_paused_{false};
     timer_id timer_{0};
 };
 
--- a/modules/standins/site/server_standin.cpp
+++ b/modules/standins/site/server_standin.cpp
@@ -47,6 +47,7 @@
 
 http_response server_standin::handle(const http_request& request)
 {
+    ++requests_;
     const std::string id{request.header("x-request-id")};
     const std::string expected{request.header("x-expect-instance")};
     if (expected != id_) {
--- a/modules/standins/site/server_standin.h
+++ b/modules/standins/site/server_standin.h
@@ -27,6 +27,9 @@
     [[nodiscard]] const std::string& id() const { return id_; }
     [[nodiscard]] std::string address() const { return server_->address(); }
 
+    /// Number of requests received so far, also of those that it refused.
+    [[nodiscard]] int requests() const { return requests_; }
+
     /// Fault rates, in requests per thousand.
     std::atomic<int> refuse{0};      ///< refused without running
     std::atomic<int> fail{0};        ///< fail with a signed error
@@ -43,6 +46,7 @@
 
     std::string id_;
     run_tracker& tracker_;
+    std::atomic<int> requests_{0};
     std::mutex mutex_;
     std::minstd_rand random_;
     std::unique_ptr<http_server> server_;
--- a/modules/standins/site/site.cpp
+++ b/modules/standins/site/site.cpp
@@ -76,7 +76,8 @@
             "--readiness_listen=" + gateway.readiness, "--directory_listen=" + gateway.directory,
             "--store=" + gateway.store_path->address(), "--relay_listen=" + gateway.relay,
             "--peer_listen=" + gateway.peer, "--peer_advertise=" + gateway.peer_path->address(),
-            "--retry_slack=1000.5", "--stop_limit_s=8.0"},
+            "--retry_slack=1000.5", "--stop_limit_s=8.0",
+            "--digest_min_instances=" + std::to_string(options_.digest_min_instances)},
         options_.log_folder + "/" + gateway.name + ".log");
 }
 
--- a/modules/standins/site/site.h
+++ b/modules/standins/site/site.h
@@ -23,6 +23,7 @@
     token_count prepaid{10'000'000};
     std::uint64_t seed{1};
     std::string log_folder{"/tmp"};
+    int digest_min_instances{128};
 };
 
 /// A gateway process and the relay between it and the store.
--- a/tests/gateway/gateway_tests.cpp
+++ b/tests/gateway/gateway_tests.cpp
@@ -6,9 +6,12 @@
 #include <atomic>
 #include <chrono>
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <iterator>
+#include <stdexcept>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -23,10 +26,27 @@
     std::this_thread::sleep_for(std::chrono::milliseconds{time.count()});
 }
 
-/// Returns the end of a gateway's log, to show why it did not become ready.
-std::string end_of_log(const std::string& name, const std::string& folder)
+/// Time after which a leaving server gets no work: the users' bounds.
+constexpr time_ms smallest_drain_time{2000};
+constexpr time_ms drain_time_of_large_fleets{4000};
+
+/// Makes an empty folder for the logs of one test.
+std::string make_log_folder()
+{
+    std::string folder = "/tmp/gateway-test-XXXXXX";
+    if (::mkdtemp(folder.data()) == nullptr) {
+        throw std::runtime_error{"cannot make a folder for logs"};
+    }
+    return folder;
+}
+
+constexpr std::size_t all_of_log = std::string::npos;
+/// The log event of an instance that follows the digest from now on.
+constexpr std::string_view digest_source_event = R"("event":"source","uses":"digest")";
+
+/// Returns the end of a gateway's log.
+std::string end_of_log(const std::string& name, const std::string& folder, std::size_t max_bytes)
 {
-    constexpr std::size_t max_bytes = 1500;
     std::ifstream file{folder + "/" + name + ".log"};
     const std::string text{std::istreambuf_iterator<char>{file}, {}};
     return text.substr(text.size() > max_bytes ? text.size() - max_bytes : 0);
@@ -95,8 +115,9 @@
         caller = std::make_unique<site_caller>(*fleet);
         for (const auto& gateway : fleet->gateways()) {
             if (!fleet->wait_ready(gateway)) {
+                constexpr std::size_t shown_bytes = 1500;
                 FAIL((gateway.name + " is not ready; the end of its log: " +
-                      end_of_log(gateway.name, options.log_folder))
+                      end_of_log(gateway.name, options.log_folder, shown_bytes))
                          .c_str());
             }
         }
@@ -117,6 +138,50 @@
         return fleet->gateways()[i].listen;
     }
 
+    /// Returns the server that gets most of the chats of these gateways.
+    site_server& busiest_server(const std::vector<std::size_t>& gateways)
+    {
+        std::vector<int> before;
+        for (const auto& server : fleet->servers()) {
+            before.push_back(server.server->requests());
+        }
+        for (int i = 0; i < 10; ++i) {
+            for (const auto gateway : gateways) {
+                CHECK(caller->call(address(gateway), site_call::chat, 1).complete);
+            }
+        }
+        std::size_t busiest = 0;
+        int most_requests = 0;
+        for (std::size_t i = 0; i < before.size(); ++i) {
+            const auto requests = fleet->servers()[i].server->requests() - before[i];
+            if (requests > most_requests) {
+                most_requests = requests;
+                busiest = i;
+            }
+        }
+        return fleet->servers()[busiest];
+    }
+
+    /// Returns the gateways whose log shows that they follow the digest, once there are `count`.
+    std::vector<std::size_t> digest_followers(std::size_t count, const std::string& log_folder)
+    {
+        std::vector<std::size_t> followers;
+        const auto deadline = steady_clock_ms{}.now() + seconds(20);
+        while (followers.size() < count && steady_clock_ms{}.now() < deadline) {
+            wait(time_ms{100});
+            followers.clear();
+            for (std::size_t i = 0; i < fleet->gateways().size(); ++i) {
+                const auto log = end_of_log(fleet->gateways()[i].name, log_folder, all_of_log);
+                const auto last = log.rfind("\"event\":\"source\"");
+                if (last != std::string::npos &&
+                    log.compare(last, digest_source_event.size(), digest_source_event) == 0) {
+                    followers.push_back(i);
+                }
+            }
+        }
+        return followers;
+    }
+
     /// Sends calls of one kind until one completes. Returns false if none does within `limit`.
     bool serves(std::size_t i, site_call kind, time_ms limit)
     {
@@ -169,15 +234,47 @@
 TEST(gateway, sends_nothing_to_a_leaving_server)
 {
     start_fleet({1, 2, 2});
-    auto& leaving = fleet->servers().front();
+    auto& leaving = busiest_server({0});
     fleet->announce(leaving, true);
     wait(time_ms{500});
-    const auto before = leaving.path->accepted();
-    leaving.path->set_mode(tcp_relay::mode::refuse);
+    const auto before = leaving.server->requests();
     for (int i = 0; i < 20; ++i) {
         CHECK(caller->call(address(0), site_call::chat, 1).complete);
     }
-    CHECK_EQUAL(before, leaving.path->accepted());
+    CHECK_EQUAL(before, leaving.server->requests());
+}
+
+// Load pattern: a fleet so large that most instances follow a digest. A server leaves, then both
+// publishers of the digest are killed and another server leaves.
+TEST(gateway, a_fleet_with_a_digest_sends_nothing_to_leaving_servers)
+{
+    site_options options;
+    options.gateways = 5;
+    options.engines = 4;
+    options.digest_min_instances = 3;
+    options.log_folder = make_log_folder();
+    start_fleet(options);
+    const auto followers = digest_followers(3, options.log_folder);
+    CHECK_EQUAL(3U, followers.size());
+    for (const bool kills_publishers : {false, true}) {
+        if (kills_publishers) {
+            for (std::size_t i = 0; i < fleet->gateways().size(); ++i) {
+                if (std::find(followers.begin(), followers.end(), i) == followers.end()) {
+                    fleet->gateways()[i].process->kill();
+                }
+            }
+        }
+        auto& leaving = busiest_server(followers);
+        fleet->announce(leaving, true);
+        wait(kills_publishers ? drain_time_of_large_fleets : smallest_drain_time);
+        const auto before = leaving.server->requests();
+        for (int i = 0; i < 20; ++i) {
+            for (const auto follower : followers) {
+                CHECK(caller->call(address(follower), site_call::chat, 1).complete);
+            }
+        }
+        CHECK_EQUAL(before, leaving.server->requests());
+    }
 }
 
 // Guards against refusals during a store outage that is short enough to be covered by the tokens
