--- a/modules/budget/json_fields.cpp
+++ b/modules/budget/json_fields.cpp
@@ -48,6 +48,40 @@
     return whole_number(object, name, 0, max_token_count);
 }
 
+std::map<std::string, token_count, std::less<>> token_counts(const nlohmann::json& object,
+                                                             const char* name)
+{
+    std::map<std::string, token_count, std::less<>> counts;
+    const auto found = object.find(name);
+    if (found == object.end()) {
+        return counts;
+    }
+    if (!found->is_object()) {
+        reject(name, "a table of token counts");
+    }
+    for (const auto& [key, value] : found->items()) {
+        counts[key] = tokens(*found, key.c_str());
+    }
+    return counts;
+}
+
+std::int64_t number_or(const nlohmann::json& object, const char* name, std::int64_t default_value,
+                       std::int64_t low, std::int64_t high)
+{
+    const auto found = object.find(name);
+    if (found == object.end() || found->is_null()) {
+        return default_value;
+    }
+    if (!found->is_number()) {
+        reject(name, "a number");
+    }
+    const auto number = found->get<double>();
+    if (!(number >= static_cast<double>(low) && number <= static_cast<double>(high))) {
+        reject(name, "in range");
+    }
+    return static_cast<std::int64_t>(number);
+}
+
 std::string text(const nlohmann::json& object, const char* name)
 {
     const auto& value = field(object, name);
--- a/modules/budget/json_fields.h
+++ b/modules/budget/json_fields.h
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <functional>
+#include <map>
 #include <string>
 #include <string_view>
 
@@ -27,6 +29,16 @@
 /// Returns a boolean field; throws std::invalid_argument otherwise.
 bool truth(const nlohmann::json& object, const char* name);
 
+/// Returns a field of token counts by name, empty if the field is missing; throws
+/// std::invalid_argument if it is no such table.
+std::map<std::string, token_count, std::less<>> token_counts(const nlohmann::json& object,
+                                                             const char* name);
+
+/// Returns a number within [low, high] without its fraction, `default_value` if the field is
+/// missing or null; throws std::invalid_argument otherwise.
+std::int64_t number_or(const nlohmann::json& object, const char* name, std::int64_t default_value,
+                       std::int64_t low, std::int64_t high);
+
 /// Returns an array field; throws std::invalid_argument otherwise.
 const nlohmann::json& array(const nlohmann::json& object, const char* name);
 
--- a/modules/dispatch/fleet_digest.cpp
+++ b/modules/dispatch/fleet_digest.cpp
@@ -78,7 +78,7 @@
             digest_status status;
             status.stamp = time_ms{json_fields::whole_number(object, "stamp_ms", 0, max_int64)};
             status.live_instances = json_fields::whole_number(object, "live", 1, 1'000'000);
-            status.demand = object.value("demand", account_demand{});
+            status.demand = json_fields::token_counts(object, "demand");
             status.short_accounts = object.value("short_of", std::vector<std::string>{});
             return status;
         });
--- a/modules/dispatch/spend_ceilings.cpp
+++ b/modules/dispatch/spend_ceilings.cpp
@@ -18,14 +18,17 @@
 constexpr double growth_margin = 1.5;
 /// Max growth as a multiple of the max headroom, over the time until the growth becomes faster.
 constexpr double max_growth_factor = 4;
+/// Age at which a ceiling stops growing; keeps the largest growth representable.
+constexpr time_ms max_growth_age{3'600'000};
 /// Time of faster growth after which the whole stock may be spent, in seconds.
 constexpr std::int64_t stock_spend_time_s = 5;
 } // namespace
 
 token_count spend_ceiling::at(time_ms age) const
 {
-    const auto grown = [age](token_count per_s, time_ms after) {
-        return per_s * std::max<std::int64_t>(0, (age - after).count()) / 1000;
+    const auto growth_age = std::clamp(age, time_ms{0}, max_growth_age);
+    const auto grown = [growth_age](token_count per_s, time_ms after) {
+        return per_s * std::max<std::int64_t>(0, (growth_age - after).count()) / 1000;
     };
     return base + grown(growth_per_s, time_ms{0}) + grown(late_growth_per_s, late_growth_after);
 }
--- a/modules/dispatch/spend_row.cpp
+++ b/modules/dispatch/spend_row.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <stdexcept>
 
 namespace jujubevalve
 {
@@ -20,6 +21,15 @@
                                     [&key](const table_row& row) { return row.key == key; });
     return found == rows.end() ? absent : *found;
 }
+
+token_count read_tokens(const nlohmann::json& value)
+{
+    const auto tokens = value.get<token_count>();
+    if (!value.is_number_integer() || tokens < 0 || tokens > max_token_count) {
+        throw std::invalid_argument{"a ceiling is not a token count"};
+    }
+    return tokens;
+}
 } // namespace
 
 std::string to_text(const spend_row& row)
@@ -44,9 +54,8 @@
         row.stamp = time_ms{json_fields::whole_number(object, "stamp_ms", 0,
                                                       std::numeric_limits<std::int64_t>::max())};
         for (const auto& [account, ceiling] : object.at("ceilings").items()) {
-            row.ceilings[account] = {ceiling.at(0).get<token_count>(),
-                                     ceiling.at(1).get<token_count>(),
-                                     ceiling.at(2).get<token_count>()};
+            row.ceilings[account] = {read_tokens(ceiling.at(0)), read_tokens(ceiling.at(1)),
+                                     read_tokens(ceiling.at(2))};
         }
         return row;
     });
--- a/modules/gateway/peer_messages.cpp
+++ b/modules/gateway/peer_messages.cpp
@@ -47,6 +47,16 @@
     return tokens;
 }
 
+time_ms read_wait(const json& field)
+{
+    constexpr time_ms max_wait{3'600'000};
+    const time_ms wait{field.get<std::int64_t>()};
+    if (wait < time_ms{0} || wait > max_wait) {
+        throw std::invalid_argument{"wait out of range"};
+    }
+    return wait;
+}
+
 result_code read_code(const json& field)
 {
     const auto code = static_cast<result_code>(field.get<int>());
@@ -63,7 +73,7 @@
         return peer_hello{fields.at(0).get<std::string>()};
     case 1:
         return reserve_tokens{fields.at(0).get<std::uint64_t>(), fields.at(1).get<std::string>(),
-                              read_tokens(fields.at(2)), time_ms{fields.at(3).get<std::int64_t>()}};
+                              read_tokens(fields.at(2)), read_wait(fields.at(3))};
     case 2:
         return tokens_reserved{fields.at(0).get<std::uint64_t>(), read_code(fields.at(1))};
     case 3:
