Gateway: take no answer without an id on a connection that is in use again

Cause: an answer without a request id was accepted as the answer to the current request. A late copy that bears no id, sent before the next answer on a kept connection, reached the next caller as its own. Change: a connection whose response had no id is closed after it; on one that is used again, an answer without an id ends the connection, and the call is repeated or fails as one that may have run. Tests with a stand-in that sends raw bytes: late copies at four moments, with the own, another and no id, with a length and in chunks; callers that leave before the first event, inside the stream, by close, reset and half-close, before their request is complete and while it waits for tokens. Measured: the tests of late copies and of servers without ids fail on the gateway before; those of callers that leave pass on both, so nothing was found there.

--- a/modules/gateway/call.cpp
+++ b/modules/gateway/call.cpp
@@ -189,6 +189,7 @@
     state_ = state_ == run_state::ran ? run_state::ran : run_state::sent;
     ++attempts_;
     in_stream_ = false;
+    response_ = {};
     response_body_.clear();
     event_splitter_.clear();
     if (!connection_->is_connected()) {
@@ -271,7 +272,9 @@
     if (!connection_) {
         return;
     }
-    if (!connection_->is_reusable()) {
+    // Without ids, a late copy of this response could not be told from the response to the next
+    // request.
+    if (!connection_->is_reusable() || !response_.request_id) {
         connection_->abandon();
     }
     // Deferred, since a callback of this connection may be on the stack.
--- a/modules/gateway/call_response.cpp
+++ b/modules/gateway/call_response.cpp
@@ -65,6 +65,22 @@
                            context_.loop.now());
         return false;
     }
+    if (!response.request_id) {
+        context_.metrics.count("answers_without_id");
+        context_.log.write("unidentified_answer",
+                           log_fields{}
+                               .add("id", request_.id)
+                               .add("server", server_id_)
+                               .add("status", head.status)
+                               .add("reused", static_cast<int>(connection_->is_reused())),
+                           context_.loop.now());
+        if (connection_->is_reused()) {
+            // Earlier responses on this connection had ids, so this may be a late copy of one.
+            connection_->abandon();
+            on_exchange_failed(exchange_failure::malformed);
+            return false;
+        }
+    }
     response_ = std::move(response);
     response_head_ = head;
     context_.view.servers().note_received(server_id_, context_.loop.now());
--- /dev/null
+++ b/modules/standins/site/raw_server.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "core/time_ms.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace jujubevalve::site
+{
+
+/// A request as a raw_server received it.
+struct raw_request {
+    std::string id;
+    std::string expected_server;
+    std::string account;
+    std::size_t number{0}; ///< on its connection, from 1
+};
+
+/// The connection of a raw_server on which a request arrived.
+class raw_connection
+{
+public:
+    explicit raw_connection(int descriptor)
+        : descriptor_{descriptor}
+    {
+    }
+
+    /// Sends bytes. Returns false if the peer no longer takes them.
+    bool send(std::string_view bytes) const;
+
+    /// Waits until the peer has closed or reset the connection. Returns false on timeout.
+    [[nodiscard]] bool wait_closed(time_ms limit) const;
+
+private:
+    int descriptor_;
+};
+
+/// A server that answers with whatever bytes its handler sends, for faults that an HTTP library
+/// prevents. Runs the handler on a thread for each connection.
+class raw_server
+{
+public:
+    using handler = std::function<void(const raw_connection& connection, const raw_request&)>;
+
+    /// Listens on a free loopback port. Throws std::system_error on failure.
+    explicit raw_server(handler on_request);
+    ~raw_server();
+    raw_server(const raw_server&) = delete;
+    raw_server& operator=(const raw_server&) = delete;
+
+    [[nodiscard]] const std::string& address() const;
+    [[nodiscard]] int requests() const;
+
+private:
+    class impl;
+    std::unique_ptr<impl> impl_;
+};
+
+/// A connection of a caller that sends its bytes as the test says.
+class raw_caller
+{
+public:
+    /// Throws std::system_error if it cannot connect.
+    explicit raw_caller(const std::string& address);
+    ~raw_caller();
+    raw_caller(const raw_caller&) = delete;
+    raw_caller& operator=(const raw_caller&) = delete;
+
+    void send(std::string_view bytes) const;
+    /// Receives until `text` has arrived or the peer closes; returns all bytes received by it.
+    std::string receive_until(std::string_view text, time_ms limit) const;
+
+    void close();
+    void reset();
+    void stop_sending() const;
+
+private:
+    int descriptor_;
+};
+
+} // namespace jujubevalve::site
