Gateway: send no request whose caller left before it was read

Cause: an instance that gets more than its processor can take reads requests a second after they came. Their callers had given up, but the end of the connection lay behind the request in the socket, so the request was sent to a server first. Change: a call looks whether its caller's connection has ended before it does anything.

--- a/modules/gateway/call.cpp
+++ b/modules/gateway/call.cpp
@@ -65,6 +65,11 @@
         return;
     }
     request_ = std::move(request).value();
+    if (caller_.has_left()) {
+        // A busy instance reads a request late, and behind it that its caller has given up.
+        end("caller left before the request was read", 0);
+        return;
+    }
     if (!authorise()) {
         return;
     }
--- a/modules/gateway/call_context.h
+++ b/modules/gateway/call_context.h
@@ -58,6 +58,8 @@
 
     /// Sends bytes of the response.
     virtual void send(std::string_view bytes) = 0;
+    /// Returns whether the caller has closed the connection, also if that was not reported yet.
+    [[nodiscard]] virtual bool has_left() const = 0;
     /// Returns the number of response bytes that are not yet written to the socket.
     [[nodiscard]] virtual std::size_t unsent() const = 0;
     /// Returns whether the connection must close after the response.
--- a/modules/gateway/front_connection.cpp
+++ b/modules/gateway/front_connection.cpp
@@ -211,6 +211,11 @@
     }
 }
 
+bool front_connection::has_left() const
+{
+    return !stream_ || stream_->has_peer_closed();
+}
+
 std::size_t front_connection::unsent() const
 {
     return stream_ ? stream_->pending() : 0;
--- a/modules/gateway/front_connection.h
+++ b/modules/gateway/front_connection.h
@@ -45,6 +45,7 @@
     void on_message_end() override;
 
     void send(std::string_view bytes) override;
+    [[nodiscard]] bool has_left() const override;
     [[nodiscard]] std::size_t unsent() const override;
     [[nodiscard]] bool must_close() const override;
     void finish(bool close) override;
--- a/modules/net/tcp_stream.cpp
+++ b/modules/net/tcp_stream.cpp
@@ -188,6 +188,13 @@
            ACE_OS::shutdown(descriptor_, ACE_SHUTDOWN_WRITE) == 0;
 }
 
+bool tcp_stream::has_peer_closed() const
+{
+    char byte = 0;
+    const auto n = ACE_OS::recv(descriptor_, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+    return n == 0 || (n < 0 && errno != EWOULDBLOCK && errno != EAGAIN && errno != EINTR);
+}
+
 void tcp_stream::close_lingering(std::unique_ptr<tcp_stream> stream)
 {
     if (!stream || !stream->is_open()) {
--- a/modules/net/tcp_stream.h
+++ b/modules/net/tcp_stream.h
@@ -82,6 +82,10 @@
     /// bytes even if it is still sending.
     static void close_lingering(std::unique_ptr<tcp_stream> stream);
 
+    /// Returns whether the peer has closed or reset the connection and nothing it sent is left to
+    /// be read, though this has not been reported yet.
+    [[nodiscard]] bool has_peer_closed() const;
+
     [[nodiscard]] bool is_open() const { return descriptor_ >= 0; }
     [[nodiscard]] bool is_connected() const { return connected_; }
 
--- a/tests/gateway/server_fault_tests.cpp
+++ b/tests/gateway/server_fault_tests.cpp
@@ -5,6 +5,7 @@
 #include <CppUTest/TestHarness.h>
 #include <atomic>
 #include <chrono>
+#include <csignal>
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -246,3 +247,29 @@
     fleet->store().delay_ms = 0;
     CHECK_EQUAL(0, engine.requests());
 }
+
+// Load pattern: an instance is so busy that it reads a request only after its caller has given up.
+TEST(server_faults, a_request_that_is_read_after_its_caller_left_is_not_sent)
+{
+    start_fleet();
+    raw_server orders{[&](const raw_connection& connection, const raw_request& request) {
+        begin_run(request);
+        connection.send(with_length("X-Request-Id: " + request.id + "\r\n", "sent in vain"));
+    }};
+    announce("raw", "orders", orders.address());
+    auto& process = *fleet->gateways()[0].process;
+    process.send(SIGSTOP);
+    constexpr int callers = 20;
+    for (int i = 0; i < callers; ++i) {
+        raw_caller leaving{gateway()};
+        leaving.send("GET /stock/x HTTP/1.1\r\nHost: " + std::string{deployment::host} +
+                     "\r\nX-Request-Id: left-" + std::to_string(i) +
+                     "\r\nX-Deadline-Ms: 4000\r\nX-Key: key-1\r\n\r\n");
+        if (i % 2 == 0) {
+            leaving.reset();
+        }
+    }
+    process.send(SIGCONT);
+    wait(seconds(1));
+    CHECK_EQUAL(0, orders.requests());
+}
