Gateway: report crashes of servers with the prompt blocks that were in flight there

Cause: no log line and no counter says that a server has ended or which parts the prompts of the lost requests share, so an overloaded server, our own repeats and a part that crashes servers look alike. Change: server_crash_detector. A server's process has ended if connections of requests break and its address then refuses a new connection, which costs one connection attempt; a server that leaves, or a network that resets connections, is not reported. Each instance logs server_crashed with the shared blocks of those lost requests whose answer was not well under way, and counts server_crashes and requests_lost_in_crashes. No decision uses it yet.

--- a/modules/dispatch/call_request.h
+++ b/modules/dispatch/call_request.h
@@ -27,6 +27,15 @@
 
     /// Returns the max number of tokens that the request can use, prompt included.
     [[nodiscard]] token_count most() const { return prompt_tokens + max_output_tokens; }
+    /// Returns the ids of the blocks that other requests may share: all but the last.
+    [[nodiscard]] std::vector<std::uint64_t> shared_blocks() const
+    {
+        std::vector<std::uint64_t> ids;
+        for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+            ids.push_back(parts[i].id);
+        }
+        return ids;
+    }
     friend bool operator==(const generation_request&, const generation_request&) = default;
 };
 
--- a/modules/gateway/call.cpp
+++ b/modules/gateway/call.cpp
@@ -33,6 +33,8 @@
 /// Max size of a response that is buffered until it is complete.
 constexpr std::size_t max_buffered_response_bytes = 8 * 1024 * 1024;
 constexpr int default_priority = 5;
+/// An answer that has gone on for this long after its first event has not crashed its server.
+constexpr time_ms sound_answer_age{250};
 /// Max events that a server may have sent without their being relayed when a stream was aborted.
 /// The server notices the abort after about 10 ms and sends at most one event per 10 ms.
 constexpr std::int64_t max_undelivered_events = 4;
@@ -194,6 +196,7 @@
     state_ = state_ == run_state::ran ? run_state::ran : run_state::sent;
     ++attempts_;
     in_stream_ = false;
+    answer_began_at_.reset();
     response_ = {};
     response_body_.clear();
     event_splitter_.clear();
@@ -272,6 +275,19 @@
     release_connection();
 }
 
+void call::report_lost_connection()
+{
+    const auto* const server = context_.view.servers().find(server_id_);
+    if (server == nullptr) {
+        return;
+    }
+    const bool is_under_way =
+        answer_began_at_ && context_.loop.now() - *answer_began_at_ >= sound_answer_age;
+    context_.crashes.connection_lost(server->entry, request_.generation && !is_under_way
+                                                        ? request_.generation->shared_blocks()
+                                                        : std::vector<std::uint64_t>{});
+}
+
 void call::release_connection()
 {
     if (!connection_) {
--- a/modules/gateway/call.h
+++ b/modules/gateway/call.h
@@ -71,6 +71,8 @@
 
     [[nodiscard]] bool may_retry(bool may_have_run);
     void end_attempt(server_verdict verdict);
+    /// Reports that the connection of the current attempt broke.
+    void report_lost_connection();
     void release_connection();
     void refuse(result_code code, int status, std::string_view message,
                 std::optional<time_ms> retry_after = std::nullopt);
@@ -124,6 +126,7 @@
     std::optional<std::string> last_event_; ///< id of the last event sent to the caller
     std::int64_t events_sent_{0};
     time_ms last_event_at_{};
+    std::optional<time_ms> answer_began_at_; ///< first event of the current attempt
     bool ended_{false};
 };
 
--- a/modules/gateway/call_context.h
+++ b/modules/gateway/call_context.h
@@ -10,6 +10,7 @@
 #include "gateway/limited_buffer.h"
 #include "gateway/reservation_service.h"
 #include "gateway/server_connections.h"
+#include "gateway/server_crash_detector.h"
 #include "net/event_loop.h"
 
 #include <map>
@@ -30,6 +31,7 @@
     server_connections& connections;
     abandoned_request_tracker& abandoned;
     server_choice& choice;
+    server_crash_detector& crashes;
     std::minstd_rand random;
     std::map<std::string, fleet_retry_budget, std::less<>> retry_budgets; ///< by service name
     std::int64_t calls{0};                                                ///< calls received so far
--- a/modules/gateway/call_response.cpp
+++ b/modules/gateway/call_response.cpp
@@ -140,6 +140,7 @@
             out.append(event->bytes);
         }
         ++events_sent_;
+        answer_began_at_ = answer_began_at_.value_or(context_.loop.now());
         if (!event->id.empty()) {
             last_event_ = std::string{event->id};
         }
@@ -271,6 +272,7 @@
 void call::end_stream()
 {
     if (event_splitter_.partial_bytes() > 0) {
+        report_lost_connection();
         stream_broken("the stream ends inside an event");
         return;
     }
@@ -316,6 +318,9 @@
                            .add("after_ms", context_.loop.now() - sent_at_)
                            .add("reused", static_cast<int>(connection_->is_reused())),
                        context_.loop.now());
+    if (failure == exchange_failure::no_response || failure == exchange_failure::broken_response) {
+        report_lost_connection();
+    }
     if (in_stream_) {
         stream_broken(to_string(failure));
         return;
--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -9,8 +9,10 @@
 #include "platform/call_codec.h"
 #include "platform/store_client.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
+#include <charconv>
 #include <csignal>
 #include <fcntl.h>
 #include <map>
@@ -107,6 +109,20 @@
     return options;
 }
 
+/// Returns at most 16 ids as hexadecimal numbers, for a log line.
+std::string hex_list(const std::vector<std::uint64_t>& ids)
+{
+    constexpr std::size_t max_listed = 16;
+    std::string text;
+    for (std::size_t i = 0; i < std::min(ids.size(), max_listed); ++i) {
+        std::array<char, 16> digits{};
+        const auto end =
+            std::to_chars(digits.data(), digits.data() + digits.size(), ids[i], 16).ptr;
+        text.append(i == 0 ? "" : " ").append(digits.data(), end);
+    }
+    return text;
+}
+
 std::string make_incarnation(const std::string& instance)
 {
     return instance + "-" + random_hex(8);
@@ -134,6 +150,7 @@
         , connections_{loop_}
         , abandoned_{loop_, budgets_, log_}
         , choice_{choice_options(settings_), hash64(incarnation_)}
+        , crashes_{loop_, [this](const server_crash& crash) { record_crash(crash); }}
         , context_{loop_,
                    settings_,
                    log_,
@@ -143,7 +160,9 @@
                    connections_,
                    abandoned_,
                    choice_,
-                   std::minstd_rand{static_cast<std::minstd_rand::result_type>(hash64(incarnation_))},
+                   crashes_,
+                   std::minstd_rand{
+                       static_cast<std::minstd_rand::result_type>(hash64(incarnation_))},
                    {},
                    0}
         , caller_server_{context_, [](const http_head&, bool) { return std::nullopt; },
@@ -257,6 +276,18 @@
         return encode_address_response(list, settings_.address_ttl, close);
     }
 
+    void record_crash(const server_crash& crash)
+    {
+        metrics_.count("server_crashes");
+        metrics_.count("requests_lost_in_crashes", crash.lost_requests);
+        log_.write("server_crashed",
+                   log_fields{}
+                       .add("server", crash.server)
+                       .add("lost", crash.lost_requests)
+                       .add("suspects", hex_list(crash.suspect_blocks)),
+                   loop_.now());
+    }
+
     void run_maintenance()
     {
         update_request_rate();
@@ -378,6 +409,7 @@
     server_connections connections_;
     abandoned_request_tracker abandoned_;
     server_choice choice_;
+    server_crash_detector crashes_;
     call_context context_;
     front_server caller_server_;
     front_server readiness_server_;
