--- a/modules/standins/site/server_standin.cpp
+++ b/modules/standins/site/server_standin.cpp
@@ -1,9 +1,12 @@
 #include "standins/site/server_standin.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdlib>
+#include <sstream>
 #include <thread>
 #include <utility>
+#include <vector>
 
 namespace jujubevalve::site
 {
@@ -11,6 +14,8 @@
 namespace
 {
 constexpr std::size_t endless_piece_bytes = 16 * 1024;
+/// From the arrival of a request that crashes the server to its end.
+constexpr int time_to_crash_ms = 40;
 
 http_response cut()
 {
@@ -45,6 +50,18 @@
     return std::uniform_int_distribution<int>{0, 999}(random_) < thousandths;
 }
 
+bool server_standin::has_crash_block(const http_request& request) const
+{
+    const std::uint64_t block = crash_block;
+    std::istringstream parts{std::string{request.header("x-prefix-hash")}};
+    std::vector<std::uint64_t> ids;
+    for (std::string part; std::getline(parts, part, ',');) {
+        ids.push_back(std::strtoull(part.c_str(), nullptr, 16));
+    }
+    return block != 0 && !ids.empty() &&
+           std::find(ids.begin(), ids.end() - 1, block) != ids.end() - 1;
+}
+
 http_response server_standin::handle(const http_request& request)
 {
     ++requests_;
@@ -67,6 +84,14 @@
     const http_headers signed_headers{{"X-Request-Id", id},
                                       {"X-Server-Signature", signature_of(id)},
                                       {"X-Server-Load", "1,0,64"}};
+    if (has_crash_block(request)) {
+        on_crash_block();
+        if (draw(crash_share)) {
+            pause(time_to_crash_ms);
+            crash();
+            return cut();
+        }
+    }
     if (draw(lose_answer)) {
         return cut();
     }
--- a/modules/standins/site/server_standin.h
+++ b/modules/standins/site/server_standin.h
@@ -4,6 +4,8 @@
 #include "standins/site/run_tracker.h"
 
 #include <atomic>
+#include <cstdint>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <random>
@@ -39,10 +41,20 @@
     std::atomic<int> endless{0};     ///< run, but send bytes without end instead of a response
     std::atomic<int> work_ms{5};     ///< duration of a plain call, and interval between events
 
+    /// Shared prompt block whose requests crash the server when their answer begins; 0: none.
+    std::atomic<std::uint64_t> crash_block{0};
+    /// Crashes at all requests if 1000, else at that many of a thousand.
+    std::atomic<int> crash_share{1000};
+    /// Called at the arrival of a request with that block.
+    std::function<void()> on_crash_block;
+    /// Ends the process that this server stands for. Set it before the first request.
+    std::function<void()> crash;
+
 private:
     http_response handle(const http_request& request);
     http_response stream(const http_request& request, const std::string& id);
     [[nodiscard]] bool draw(int thousandths);
+    [[nodiscard]] bool has_crash_block(const http_request& request) const;
 
     std::string id_;
     run_tracker& tracker_;
--- a/modules/standins/site/site.cpp
+++ b/modules/standins/site/site.cpp
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "http/http_client.h"
 
+#include <algorithm>
 #include <chrono>
 #include <nlohmann/json.hpp>
 #include <thread>
@@ -14,6 +15,10 @@
 {
 using nlohmann::json;
 
+constexpr const char* engine_service = "models";
+/// From a server's crash to its return.
+constexpr time_ms crash_down_time{1500};
+
 json route(const std::string& name, const std::string& prefix, const char* type,
            const char* service, int attempts, bool resumable)
 {
@@ -31,6 +36,7 @@
     , prepaid_{options.prepaid}
 {
     publish();
+    servers_.reserve(static_cast<std::size_t>(options.engines + options.plain_servers));
     const auto add = [&](const std::string& id, const char* service) {
         site_server made;
         made.server =
@@ -39,9 +45,15 @@
         made.service = service;
         announce(made);
         servers_.push_back(std::move(made));
+        auto& added = servers_.back();
+        added.server->on_crash_block = [this] {
+            const std::lock_guard lock{crash_mutex_};
+            crashes_.requests.push_back(steady_clock_ms{}.now());
+        };
+        added.server->crash = [this, &added] { crash(added); };
     };
     for (int i = 0; i < options.engines; ++i) {
-        add("engine-" + std::to_string(i), "models");
+        add("engine-" + std::to_string(i), engine_service);
     }
     for (int i = 0; i < options.plain_servers; ++i) {
         add("plain-" + std::to_string(i), "orders");
@@ -65,7 +77,60 @@
     }
 }
 
-site::~site() = default;
+site::~site()
+{
+    set_crash_block(0);
+    std::vector<std::thread> restarts;
+    {
+        const std::lock_guard lock{crash_mutex_};
+        restarts.swap(restarts_);
+    }
+    for (auto& restart : restarts) {
+        restart.join();
+    }
+}
+
+std::size_t crash_history::requests_later_than(std::size_t crash, time_ms after) const
+{
+    if (crashes.size() < crash) {
+        return 0;
+    }
+    return static_cast<std::size_t>(
+        std::count_if(requests.begin(), requests.end(),
+                      [limit = crashes[crash - 1] + after](time_ms at) { return at > limit; }));
+}
+
+void site::set_crash_block(std::uint64_t block, int share_thousandths)
+{
+    {
+        const std::lock_guard lock{crash_mutex_};
+        crashes_ = {};
+    }
+    for (auto& item : servers_) {
+        item.server->crash_share = share_thousandths;
+        item.server->crash_block = item.service == engine_service ? block : 0;
+    }
+}
+
+void site::crash(site_server& server)
+{
+    const std::lock_guard lock{crash_mutex_};
+    crashes_.crashes.push_back(steady_clock_ms{}.now());
+    server.path->set_mode(tcp_relay::mode::refuse);
+    server.path->cut_open();
+    restarts_.emplace_back([this, &server] {
+        std::this_thread::sleep_for(std::chrono::milliseconds{crash_down_time.count()});
+        server.path->set_mode(tcp_relay::mode::carry);
+        ++server.incarnation;
+        announce(server);
+    });
+}
+
+crash_history site::crashes() const
+{
+    const std::lock_guard lock{crash_mutex_};
+    return crashes_;
+}
 
 void site::start(site_gateway& gateway)
 {
@@ -108,7 +173,7 @@
                      {"state", leaving ? "draining" : "ready"},
                      {"warmup-left-ms", 0},
                      {"sequence", 1},
-                     {"born", 1}};
+                     {"born", server.incarnation}};
     store_.rows().put("servers", server.server->id(), entry.dump());
 }
 
--- a/modules/standins/site/site.h
+++ b/modules/standins/site/site.h
@@ -8,8 +8,11 @@
 #include "standins/site/store_standin.h"
 #include "standins/tcp_relay.h"
 
+#include <cstdint>
 #include <memory>
+#include <mutex>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace jujubevalve::site
@@ -45,6 +48,17 @@
     std::unique_ptr<tcp_relay> path;
     std::string service;
     bool registered{false};
+    std::int64_t incarnation{1};
+};
+
+/// What requests with a block that crashes servers did.
+struct crash_history {
+    std::vector<time_ms> requests; ///< arrivals at servers
+    std::vector<time_ms> crashes;
+
+    /// Returns the requests that arrived later than `after` past the crash with this number,
+    /// from 1.
+    [[nodiscard]] std::size_t requests_later_than(std::size_t crash, time_ms after) const;
 };
 
 /// The store, servers and gateways of one deployment on loopback, with two accounts. Key "key-N"
@@ -71,6 +85,13 @@
     /// Waits until the gateway reports that it is ready; returns false on timeout.
     bool wait_ready(const site_gateway& gateway, time_ms limit = seconds(15));
 
+    /// Makes requests with this shared prompt block crash the engines from now on; 0: none.
+    void set_crash_block(std::uint64_t block, int share_thousandths = 1000);
+    /// Ends a server's process: resets its connections and refuses new ones until it is back.
+    void crash(site_server& server);
+    /// Returns the history since the block was set.
+    [[nodiscard]] crash_history crashes() const;
+
     /// Registers a server as ready or leaving, or removes its registration.
     void announce(site_server& server, bool leaving = false);
     void withdraw(site_server& server);
@@ -90,6 +111,9 @@
     std::vector<site_gateway> gateways_;
     token_count prepaid_;
     int version_{0};
+    mutable std::mutex crash_mutex_;
+    crash_history crashes_;
+    std::vector<std::thread> restarts_; ///< of crashed servers
 };
 
 } // namespace jujubevalve::site
--- a/modules/standins/site/site_caller.cpp
+++ b/modules/standins/site/site_caller.cpp
@@ -76,7 +76,8 @@
     violations_.push_back(what);
 }
 
-attempt_result site_caller::call(const std::string& gateway, site_call kind, int account)
+attempt_result site_caller::call(const std::string& gateway, site_call kind, int account,
+                                 const std::string& prefix)
 {
     attempt_result outcome;
     outcome.id = next_id();
@@ -92,7 +93,8 @@
         const auto max_completion_tokens = event_count(outcome.id) * tokens_per_event;
         request.headers["X-Token-Usage"] =
             std::to_string(prompt_tokens) + "," + std::to_string(max_completion_tokens);
-        request.headers["X-Prefix-Hash"] = "a1:300,b" + std::to_string(account) + ":100,c1:100";
+        request.headers["X-Prefix-Hash"] =
+            prefix.empty() ? "a1:300,b" + std::to_string(account) + ":100,c1:100" : prefix;
     }
     request.body = request.method == "POST" ? "body of " + outcome.id : "";
     request.timeout = seconds(6);
--- a/modules/standins/site/site_caller.h
+++ b/modules/standins/site/site_caller.h
@@ -29,7 +29,9 @@
     explicit site_caller(site& deployment);
 
     /// Sends one attempt to a gateway, under a new request id.
-    attempt_result call(const std::string& gateway, site_call kind, int account);
+    /// `prefix`: the parts of its prompt; those that all prompts of an account share if empty.
+    attempt_result call(const std::string& gateway, site_call kind, int account,
+                        const std::string& prefix = {});
 
     /// Requests the addresses from a gateway's directory; empty on failure.
     std::vector<std::string> resolve(const std::string& directory);
