Gateway: read and log the limit that a server names

Cause: no code reads the limit of requests a second that a server names in its answers, and no log line tells when an instance learned of one, so that a limit that is not read, one that each instance keeps by itself, and repeats beyond it look alike. No decision uses it yet.

--- a/modules/dispatch/call_request.h
+++ b/modules/dispatch/call_request.h
@@ -70,6 +70,8 @@
     bool is_event_stream{false};
     std::optional<std::string> request_id; ///< of the request that the response belongs to
     std::optional<server_load> load;
+    /// Requests per second that the server takes from all instances together.
+    std::optional<double> rate_limit;
 
     friend bool operator==(const server_response&, const server_response&) = default;
 };
--- a/modules/dispatch/server_directory.cpp
+++ b/modules/dispatch/server_directory.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace jujubevalve
 {
@@ -201,6 +202,12 @@
     }
 }
 
+bool server_directory::set_rate_limit(std::string_view id, std::optional<double> limit)
+{
+    auto* const state = find(id);
+    return state != nullptr && std::exchange(state->rate_limit, limit) != limit;
+}
+
 void server_directory::add_latency(std::string_view id, time_ms latency)
 {
     if (auto* const state = find(id)) {
--- a/modules/gateway/call.h
+++ b/modules/gateway/call.h
@@ -75,6 +75,8 @@
     bool refuse_quarantined(const prompt_admission& admission);
     /// Records that the answer of the current attempt has got under way.
     void record_sound_answer();
+    /// Records the rate limit that the response names.
+    void record_rate_limit();
     [[nodiscard]] bool is_answer_under_way() const;
     /// Reports that the connection of the current attempt broke.
     void report_lost_connection();
--- a/modules/gateway/call_response.cpp
+++ b/modules/gateway/call_response.cpp
@@ -87,6 +87,7 @@
     if (response_.load) {
         context_.view.servers().reported(server_id_, *response_.load, context_.loop.now());
     }
+    record_rate_limit();
     in_stream_ = is_success(response_.status) && response_.is_event_stream && response_.is_signed &&
                  !response_.encoded;
     if (in_stream_) {
@@ -98,6 +99,24 @@
     return true;
 }
 
+// Only a server's own answer without a limit shows that it names none any more.
+void call::record_rate_limit()
+{
+    if (!response_.rate_limit && !response_.is_signed) {
+        return;
+    }
+    if (context_.view.servers().set_rate_limit(server_id_, response_.rate_limit)) {
+        context_.metrics.count("server_limits_named", response_.rate_limit ? 1 : 0);
+        context_.log.write("server_limit",
+                           log_fields{}
+                               .add("server", server_id_)
+                               .add("per_s", response_.rate_limit
+                                                 ? std::to_string(*response_.rate_limit)
+                                                 : std::string{"none"}),
+                           context_.loop.now());
+    }
+}
+
 void call::on_response_body(std::string_view bytes)
 {
     context_.view.servers().note_received(server_id_, context_.loop.now());
