--- a/modules/standins/site/server_standin.cpp
+++ b/modules/standins/site/server_standin.cpp
@@ -1,5 +1,7 @@
 #include "standins/site/server_standin.h"
 
+#include "core/clock.h"
+
 #include <algorithm>
 #include <chrono>
 #include <cstdlib>
@@ -50,6 +52,12 @@
     return std::uniform_int_distribution<int>{0, 999}(random_) < thousandths;
 }
 
+std::vector<time_ms> server_standin::take_arrivals()
+{
+    const std::lock_guard lock{mutex_};
+    return std::exchange(arrivals_, {});
+}
+
 bool server_standin::has_crash_block(const http_request& request) const
 {
     const std::uint64_t block = crash_block;
@@ -65,6 +73,10 @@
 http_response server_standin::handle(const http_request& request)
 {
     ++requests_;
+    {
+        const std::lock_guard lock{mutex_};
+        arrivals_.push_back(steady_clock_ms{}.now());
+    }
     const std::string id{request.header("x-request-id")};
     const std::string expected{request.header("x-expect-instance")};
     if (expected != id_) {
@@ -81,9 +93,14 @@
     }
     const std::string usage{request.header("x-token-usage")};
     tracker_.began(id, std::string{request.header("x-tenant")}, std::atoll(usage.c_str()));
-    const http_headers signed_headers{{"X-Request-Id", id},
-                                      {"X-Server-Signature", signature_of(id)},
-                                      {"X-Server-Load", "1,0,64"}};
+    http_headers signed_headers{{"X-Request-Id", id},
+                                {"X-Server-Signature", signature_of(id)},
+                                {"X-Server-Load", "1,0,64"}};
+    if (const int limit = limit_per_1000_s; limit > 0) {
+        std::ostringstream text;
+        text << limit / 1000.0;
+        signed_headers["Server-Limit"] = text.str();
+    }
     if (has_crash_block(request)) {
         on_crash_block();
         if (draw(crash_share)) {
--- a/modules/standins/site/server_standin.h
+++ b/modules/standins/site/server_standin.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/time_ms.h"
 #include "http/http_server.h"
 #include "standins/site/run_tracker.h"
 
@@ -10,6 +11,7 @@
 #include <mutex>
 #include <random>
 #include <string>
+#include <vector>
 
 namespace jujubevalve::site
 {
@@ -41,6 +43,11 @@
     std::atomic<int> endless{0};     ///< run, but send bytes without end instead of a response
     std::atomic<int> work_ms{5};     ///< duration of a plain call, and interval between events
 
+    /// Requests in a thousand seconds that it names as its limit for all instances; 0: names none.
+    std::atomic<int> limit_per_1000_s{0};
+    /// Arrivals of requests since the last call of this function.
+    std::vector<time_ms> take_arrivals();
+
     /// Shared prompt block whose requests crash the server when their answer begins; 0: none.
     std::atomic<std::uint64_t> crash_block{0};
     /// Crashes at all requests if 1000, else at that many of a thousand.
@@ -61,6 +68,7 @@
     std::atomic<int> requests_{0};
     std::mutex mutex_;
     std::minstd_rand random_;
+    std::vector<time_ms> arrivals_;
     std::unique_ptr<http_server> server_;
 };
 
