Gateway: keep to the rate that a server names, all instances together

A server in need named the requests a second that it takes from all machines together and got them at the rate of before: 14 in 4 s where 12 were allowed. Cause: the limit was not read.

It is divided without messages (fleet_rate_limiter): each permit of the limit belongs to one instance by rendezvous hashing over the store's time, and lapses after 1.5 s. An instance without a permit chooses another server, or refuses with 503 if all servers of the service are at their limits. An answer without the limit to a request sent later lifts it; a limit that is not named again for 60 s is forgotten. prompt_guard is fleet_notice_service now, as it serves both.

Why this works: in 4 s at most 5.5 s of permits and one can be used by all instances together, whatever their number; instances that disagree on one of them give away its share twice at most.

A limit in force costs a notice each 15 s and a comparison a second at each of four links; none in force costs nothing.

--- a/modules/dispatch/fleet_notices.cpp
+++ b/modules/dispatch/fleet_notices.cpp
@@ -24,6 +24,10 @@
 {
     return notice.since;
 }
+time_ms stamp_of(const limit_notice& notice)
+{
+    return notice.at;
+}
 
 std::uint64_t hash_numbers(const std::vector<std::uint64_t>& numbers, std::uint64_t seed)
 {
@@ -52,6 +56,13 @@
                         3);
 }
 
+std::uint64_t hash_of(const limit_notice& notice)
+{
+    return hash_numbers({notice.server, static_cast<std::uint64_t>(notice.at.count()),
+                         static_cast<std::uint64_t>(notice.per_1000_s.value_or(-1))},
+                        4);
+}
+
 /// Evicts the oldest notices beyond a limit.
 template <class Map>
 void limit_size(Map& notices, std::size_t max_size)
@@ -132,6 +143,11 @@
     return notice.since + duration_of(notice) * 2;
 }
 
+time_ms notice_board::expiry_of(const limit_notice& notice) const
+{
+    return notice.at + options_.limit_retention;
+}
+
 bool notice_board::put(const fleet_notice& notice, time_ms now)
 {
     const bool is_news = std::visit(
@@ -201,12 +217,30 @@
     return quarantines_.contains(notice.block);
 }
 
+// Of two limits named at the same moment the lower one counts.
+bool notice_board::merge(const limit_notice& notice)
+{
+    const auto found = limits_.find(notice.server);
+    if (found != limits_.end()) {
+        const auto& known = found->second;
+        const auto is_lower =
+            notice.per_1000_s && (!known.per_1000_s || *notice.per_1000_s < *known.per_1000_s);
+        if (known.at > notice.at || (known.at == notice.at && !is_lower)) {
+            return false;
+        }
+    }
+    limits_[notice.server] = notice;
+    limit_size(limits_, options_.max_notices);
+    return limits_.contains(notice.server);
+}
+
 void notice_board::expire(time_ms now)
 {
     const auto has_expired = [&](const auto& entry) { return expiry_of(entry.second) <= now; };
     std::erase_if(crashes_, has_expired);
     std::erase_if(sounds_, has_expired);
     std::erase_if(quarantines_, has_expired);
+    std::erase_if(limits_, has_expired);
 }
 
 std::vector<fleet_notice> notice_board::all() const
@@ -216,6 +250,9 @@
     for (const auto& [block, notice] : quarantines_) {
         found.emplace_back(notice);
     }
+    for (const auto& [server, notice] : limits_) {
+        found.emplace_back(notice);
+    }
     for (const auto& [block, notice] : sounds_) {
         found.emplace_back(notice);
     }
@@ -227,7 +264,7 @@
 
 bool notice_board::empty() const
 {
-    return crashes_.empty() && sounds_.empty() && quarantines_.empty();
+    return crashes_.empty() && sounds_.empty() && quarantines_.empty() && limits_.empty();
 }
 
 std::uint64_t notice_board::digest() const
@@ -241,6 +278,7 @@
     add(crashes_);
     add(sounds_);
     add(quarantines_);
+    add(limits_);
     return sum;
 }
 
--- a/modules/dispatch/fleet_notices.h
+++ b/modules/dispatch/fleet_notices.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -48,13 +49,22 @@
     friend bool operator==(const quarantine_notice&, const quarantine_notice&) = default;
 };
 
+/// The rate that a server takes from all instances together, as it named it last.
+struct limit_notice {
+    std::uint64_t server{0}; ///< server_key
+    time_ms at{};
+    std::optional<std::int64_t> per_1000_s; ///< requests in 1000 s; nothing: it names none any more
+
+    friend bool operator==(const limit_notice&, const limit_notice&) = default;
+};
+
 /// Chooses `count` of the other instances to pass notices on to. The choices of all instances make
 /// a graph in which every one is reached: each passes them on to its successor in a ring.
 std::vector<std::string> choose_notice_peers(const std::string& own,
                                              const std::vector<std::string>& instances,
                                              std::size_t count);
 
-using fleet_notice = std::variant<crash_notice, sound_notice, quarantine_notice>;
+using fleet_notice = std::variant<crash_notice, sound_notice, quarantine_notice, limit_notice>;
 
 /// Settings of a notice_board, in the store's time.
 struct notice_board_options {
@@ -62,6 +72,7 @@
     time_ms sound_retention{60'000}; ///< longer, so that no crash counts for lack of its answer
     time_ms quarantine_time{30'000}; ///< at level 0; doubles with each level
     time_ms max_quarantine_time{600'000};
+    time_ms limit_retention{60'000}; ///< of a limit that is not named again
     /// A stamp may lie this far ahead of the store's time, which each instance only estimates.
     time_ms max_clock_error{2000};
     std::size_t max_notices{2048}; ///< of each kind
@@ -95,6 +106,8 @@
         return quarantines_;
     }
 
+    [[nodiscard]] const std::map<std::uint64_t, limit_notice>& limits() const { return limits_; }
+
     /// Returns when a quarantine ends.
     [[nodiscard]] time_ms end_of(const quarantine_notice& quarantine) const;
 
@@ -108,14 +121,17 @@
     bool merge(const crash_notice& notice);
     bool merge(const sound_notice& notice);
     bool merge(const quarantine_notice& notice);
+    bool merge(const limit_notice& notice);
     [[nodiscard]] time_ms duration_of(const quarantine_notice& quarantine) const;
     [[nodiscard]] time_ms expiry_of(const crash_notice& notice) const;
     [[nodiscard]] time_ms expiry_of(const sound_notice& notice) const;
     [[nodiscard]] time_ms expiry_of(const quarantine_notice& notice) const;
+    [[nodiscard]] time_ms expiry_of(const limit_notice& notice) const;
 
     notice_board_options options_;
     std::map<crash_key, crash_notice> crashes_;
     std::map<std::uint64_t, sound_notice> sounds_;
+    std::map<std::uint64_t, limit_notice> limits_;
     std::map<std::uint64_t, quarantine_notice> quarantines_; ///< kept after their end, see level
 };
 
--- a/modules/dispatch/server_directory.cpp
+++ b/modules/dispatch/server_directory.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <set>
-#include <utility>
 
 namespace jujubevalve
 {
@@ -164,6 +163,14 @@
     }
 }
 
+std::string server_directory::id_of(std::uint64_t key) const
+{
+    const auto found = std::find_if(servers_.begin(), servers_.end(), [key](const auto& item) {
+        return server_key(item.first, item.second.state->entry.incarnation) == key;
+    });
+    return found == servers_.end() ? std::string{} : found->first;
+}
+
 void server_directory::avoid_crashed(std::uint64_t key, time_ms now)
 {
     for (auto& [id, registration] : servers_) {
@@ -202,12 +209,6 @@
     }
 }
 
-bool server_directory::set_rate_limit(std::string_view id, std::optional<double> limit)
-{
-    auto* const state = find(id);
-    return state != nullptr && std::exchange(state->rate_limit, limit) != limit;
-}
-
 void server_directory::add_latency(std::string_view id, time_ms latency)
 {
     if (auto* const state = find(id)) {
--- a/modules/dispatch/server_directory.h
+++ b/modules/dispatch/server_directory.h
@@ -34,12 +34,11 @@
     time_ms report_received_at{};
     time_ms last_received_at{}; ///< when the last byte was received from it
     std::int64_t sent_since_report{0};
-    int consecutive_failures{0};      ///< unreachable verdicts
-    int consecutive_errors{0};        ///< bad_answer verdicts
-    time_ms avoid_until{};            ///< until then chosen only if no other server can be
-    time_ms full_until{};             ///< until then it counts as full, since it refused a request
-    std::optional<double> rate_limit; ///< requests per second that it named last
-    time_ms latency{};                ///< moving average over good responses to plain calls
+    int consecutive_failures{0}; ///< unreachable verdicts
+    int consecutive_errors{0};   ///< bad_answer verdicts
+    time_ms avoid_until{};       ///< until then chosen only if no other server can be
+    time_ms full_until{};        ///< until then it counts as full, since it refused a request
+    time_ms latency{};           ///< moving average over good responses to plain calls
 };
 
 /// The registered servers of all services, with the state this process has observed of them. A
@@ -83,11 +82,10 @@
     [[nodiscard]] bool is_silent_since(std::string_view id, time_ms since);
     /// Records a load report of the server.
     void reported(std::string_view id, const server_load& load, time_ms now);
+    /// Returns the id of the server with this server_key; empty if it is not registered.
+    [[nodiscard]] std::string id_of(std::uint64_t key) const;
     /// Avoids a server that another instance saw crash. `key`: its server_key.
     void avoid_crashed(std::uint64_t key, time_ms now);
-    /// Records the limit that an answer of the server names, or that it names none. Returns whether
-    /// that is new.
-    bool set_rate_limit(std::string_view id, std::optional<double> limit);
     /// Adds a latency to the server's moving average.
     void add_latency(std::string_view id, time_ms latency);
 
--- a/modules/dispatch/tests/prompt_quarantine_tests.cpp
+++ b/modules/dispatch/tests/prompt_quarantine_tests.cpp
@@ -486,6 +486,9 @@
             notices.emplace_back(sound_notice{draw(5), stamp()});
             notices.emplace_back(
                 quarantine_notice{draw(5), stamp(), static_cast<std::int64_t>(draw(3))});
+            const auto limit = static_cast<std::int64_t>(draw(4));
+            notices.emplace_back(limit_notice{
+                draw(3), stamp(), limit == 0 ? std::nullopt : std::optional{limit * 1000}});
         }
         notice_board first;
         notice_board second;
--- a/modules/gateway/call.cpp
+++ b/modules/gateway/call.cpp
@@ -75,7 +75,7 @@
         end("caller left before the request was read", 0);
         return;
     }
-    if (!authorise() || refuse_quarantined(context_.guard.check(shared_prompt_))) {
+    if (!authorise() || refuse_quarantined(context_.notices.check(shared_prompt_))) {
         return;
     }
     deadline_ =
@@ -171,15 +171,22 @@
 
 void call::dispatch()
 {
-    if (refuse_quarantined(context_.guard.admit(shared_prompt_))) {
+    if (refuse_quarantined(context_.notices.admit(shared_prompt_))) {
         return;
     }
     const auto now = context_.loop.now();
-    const auto candidates = context_.view.servers().candidates(service_);
+    auto candidates = context_.view.servers().candidates(service_);
+    const bool is_limited = std::erase_if(candidates, [this](const server_state* server) {
+                                return !context_.notices.may_send(server->entry);
+                            }) > 0;
     const auto* const generation = request_.generation ? &*request_.generation : nullptr;
     auto* const server = context_.choice.choose(candidates, generation, tried_servers_, now);
     if (server == nullptr) {
-        if (state_ == run_state::not_run) {
+        if (state_ == run_state::not_run && is_limited) {
+            // Another instance may hold a permit.
+            refuse(result_code::overloaded, 503, "the backend servers are at the limits they name",
+                   other_instance_retry_delay());
+        } else if (state_ == run_state::not_run) {
             refuse(result_code::no_backend_server, 503, "no backend server takes the request",
                    retry_delay());
         } else {
@@ -210,6 +217,7 @@
     }
     fields.resume_after = last_event_;
     context_.view.servers().started(server_id_, unread_prompt_tokens_);
+    context_.notices.note_sent(server.entry);
 
     connection_ = context_.connections.take(
         server_address_, may_run_again() ? max_idle_if_rerunnable : max_idle_if_not_rerunnable);
@@ -317,7 +325,7 @@
 {
     if (answer_began_at_ && !shared_prompt_.empty() &&
         !std::exchange(sound_answer_recorded_, true)) {
-        context_.guard.record_sound(shared_prompt_, *answer_began_at_);
+        context_.notices.record_sound(shared_prompt_, *answer_began_at_);
     }
 }
 
--- a/modules/gateway/call_context.h
+++ b/modules/gateway/call_context.h
@@ -4,11 +4,11 @@
 #include "dispatch/server_choice.h"
 #include "gateway/abandoned_request_tracker.h"
 #include "gateway/decision_log.h"
+#include "gateway/fleet_notice_service.h"
 #include "gateway/fleet_view.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/limited_buffer.h"
-#include "gateway/prompt_guard.h"
 #include "gateway/reservation_service.h"
 #include "gateway/server_connections.h"
 #include "gateway/server_crash_detector.h"
@@ -33,7 +33,7 @@
     abandoned_request_tracker& abandoned;
     server_choice& choice;
     server_crash_detector& crashes;
-    prompt_guard& guard;
+    fleet_notice_service& notices;
     std::minstd_rand random;
     std::map<std::string, fleet_retry_budget, std::less<>> retry_budgets; ///< by service name
     std::int64_t calls{0};                                                ///< calls received so far
--- a/modules/gateway/call_response.cpp
+++ b/modules/gateway/call_response.cpp
@@ -102,18 +102,9 @@
 // Only a server's own answer without a limit shows that it names none any more.
 void call::record_rate_limit()
 {
-    if (!response_.rate_limit && !response_.is_signed) {
-        return;
-    }
-    if (context_.view.servers().set_rate_limit(server_id_, response_.rate_limit)) {
-        context_.metrics.count("server_limits_named", response_.rate_limit ? 1 : 0);
-        context_.log.write("server_limit",
-                           log_fields{}
-                               .add("server", server_id_)
-                               .add("per_s", response_.rate_limit
-                                                 ? std::to_string(*response_.rate_limit)
-                                                 : std::string{"none"}),
-                           context_.loop.now());
+    const auto* const server = context_.view.servers().find(server_id_);
+    if (server != nullptr && (response_.rate_limit || response_.is_signed)) {
+        context_.notices.record_limit(server->entry, response_.rate_limit, sent_at_);
     }
 }
 
--- a/modules/gateway/prompt_guard.cpp
+++ b/modules/gateway/fleet_notice_service.cpp
@@ -1,10 +1,11 @@
-#include "gateway/prompt_guard.h"
+#include "gateway/fleet_notice_service.h"
 
 #include "core/digest.h"
 
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <utility>
@@ -16,6 +17,9 @@
 {
 constexpr const char* quarantine_table = "quarantine";
 constexpr time_ms evaluation_interval{100};
+/// A limit that answers go on naming is published again after this time. Small against its
+/// retention.
+constexpr time_ms limit_refresh_interval{15'000};
 /// Instances answer a crash notice within this time, each at another moment.
 constexpr time_ms max_answer_delay{150};
 
@@ -46,9 +50,9 @@
     return {digits.data(), end};
 }
 
-prompt_guard::prompt_guard(event_loop& loop, store_client& store, decision_log& log,
-                           gateway_metrics& metrics, std::string instance,
-                           const std::string& incarnation)
+fleet_notice_service::fleet_notice_service(event_loop& loop, store_client& store, decision_log& log,
+                                           gateway_metrics& metrics, std::string instance,
+                                           const std::string& incarnation)
     : loop_{loop}
     , store_{store}
     , log_{log}
@@ -63,12 +67,12 @@
 }
 
 // Before the store's first response no notice is accepted.
-time_ms prompt_guard::now() const
+time_ms fleet_notice_service::now() const
 {
     return store_.store_time().value_or(time_ms{0});
 }
 
-void prompt_guard::load()
+void fleet_notice_service::load()
 {
     store_.read(quarantine_table, "", "", "", [this](const result<row_page>& page) {
         if (!page) {
@@ -93,14 +97,19 @@
     exchange_.ask();
 }
 
-void prompt_guard::set_instances(const fleet_view& view)
+void fleet_notice_service::set_instances(const fleet_view& view)
 {
     is_known_to_others_ = view.is_known_to_others();
     exchange_.set_peers(instance_, view.notice_peers());
-    quarantine_.set_instances(instance_, view.listed_instances());
+    const auto listed = view.listed_instances();
+    quarantine_.set_instances(instance_, listed);
+    limiter_.set_instances(instance_, listed);
+    limiter_.expire(now());
+    std::erase_if(limits_in_use_,
+                  [this](const auto& entry) { return !board_.limits().contains(entry.first); });
 }
 
-void prompt_guard::record_crash(const server_crash& crash)
+void fleet_notice_service::record_crash(const server_crash& crash)
 {
     metrics_.count("server_crashes");
     metrics_.count("requests_lost_in_crashes", crash.lost_requests);
@@ -115,18 +124,18 @@
                              store_now - (loop_.now() - crash.lost_at), store_now);
 }
 
-void prompt_guard::record_sound(const shared_prompt& prompt, time_ms began)
+void fleet_notice_service::record_sound(const shared_prompt& prompt, time_ms began)
 {
     const auto store_now = now();
     quarantine_.record_sound(prompt, store_now - (loop_.now() - began), store_now);
 }
 
-prompt_admission prompt_guard::check(const shared_prompt& prompt) const
+prompt_admission fleet_notice_service::check(const shared_prompt& prompt) const
 {
     return quarantine_.check(prompt, now());
 }
 
-prompt_admission prompt_guard::admit(const shared_prompt& prompt)
+prompt_admission fleet_notice_service::admit(const shared_prompt& prompt)
 {
     if (!is_known_to_others_) {
         exchange_.ask(); // nobody passes news on to this instance
@@ -141,7 +150,7 @@
     return admission;
 }
 
-void prompt_guard::notice_changed(const fleet_notice& notice)
+void fleet_notice_service::notice_changed(const fleet_notice& notice)
 {
     exchange_.pass_on(notice);
     if (const auto* const crash = std::get_if<crash_notice>(&notice)) {
@@ -160,10 +169,82 @@
                        .add("for_ms", board_.end_of(*quarantine) - now()),
                    loop_.now());
     }
-    schedule_evaluation();
+    if (const auto* const limit = std::get_if<limit_notice>(&notice)) {
+        apply_limit(*limit);
+    } else {
+        schedule_evaluation();
+    }
+}
+
+std::optional<std::int64_t> fleet_notice_service::limit_of(std::uint64_t server) const
+{
+    const auto found = board_.limits().find(server);
+    return found == board_.limits().end() ? std::nullopt : found->second.per_1000_s;
+}
+
+// An answer that was sent for a request from before the limit was named, and arrives late, does not
+// lift it.
+void fleet_notice_service::record_limit(const server_entry& server, std::optional<double> per_s,
+                                        time_ms sent_at)
+{
+    const auto key = server_key(server.id, server.incarnation);
+    const auto known = board_.limits().find(key);
+    const bool is_known = known != board_.limits().end();
+    if (!per_s && (!is_known || !known->second.per_1000_s)) {
+        return;
+    }
+    const auto store_now = now();
+    const auto limit =
+        per_s ? std::optional{static_cast<std::int64_t>(std::floor(*per_s * 1000))} : std::nullopt;
+    if (!limit && store_now - (loop_.now() - sent_at) <= known->second.at) {
+        return;
+    }
+    if (!is_known || known->second.per_1000_s != limit ||
+        store_now - known->second.at >= limit_refresh_interval) {
+        board_.put(limit_notice{key, store_now, limit}, store_now);
+    }
+}
+
+void fleet_notice_service::apply_limit(const limit_notice& notice)
+{
+    auto& in_use = limits_in_use_[notice.server];
+    if (notice.per_1000_s && !in_use) {
+        limiter_.begin(notice.server, now());
+    }
+    if (std::exchange(in_use, notice.per_1000_s) == notice.per_1000_s) {
+        return;
+    }
+    metrics_.count("server_limits_named", notice.per_1000_s ? 1 : 0);
+    log_.write("server_limit",
+               log_fields{}
+                   .add("server", server_name ? server_name(notice.server) : std::string{})
+                   .add("per_1000_s", notice.per_1000_s.value_or(-1)),
+               loop_.now());
+}
+
+bool fleet_notice_service::may_send(const server_entry& server) const
+{
+    if (board_.limits().empty()) {
+        return true;
+    }
+    const auto key = server_key(server.id, server.incarnation);
+    const auto limit = limit_of(key);
+    return !limit || limiter_.has_permit(key, *limit, now());
+}
+
+void fleet_notice_service::note_sent(const server_entry& server)
+{
+    if (board_.limits().empty()) {
+        return;
+    }
+    const auto key = server_key(server.id, server.incarnation);
+    if (const auto limit = limit_of(key)) {
+        limiter_.take_permit(key, *limit, now());
+        metrics_.count("requests_under_server_limits");
+    }
 }
 
-void prompt_guard::schedule_evaluation()
+void fleet_notice_service::schedule_evaluation()
 {
     if (!std::exchange(evaluation_scheduled_, true)) {
         loop_.schedule(evaluation_interval, [this] { evaluate(); });
@@ -172,7 +253,7 @@
 
 // An instance that hears no other sees too little to tell a cause from what was merely at the same
 // server.
-void prompt_guard::evaluate()
+void fleet_notice_service::evaluate()
 {
     evaluation_scheduled_ = false;
     if (exchange_.can_hear_others()) {
@@ -188,7 +269,7 @@
     }
 }
 
-bool prompt_guard::has_reported(std::uint64_t block) const
+bool fleet_notice_service::has_reported(std::uint64_t block) const
 {
     return std::any_of(board_.crashes().begin(), board_.crashes().end(), [&](const auto& entry) {
         const auto& [key, crash] = entry;
@@ -200,7 +281,7 @@
     });
 }
 
-void prompt_guard::save()
+void fleet_notice_service::save()
 {
     auto rows = nlohmann::json::array();
     for (const auto& [block, quarantine] : board_.quarantines()) {
--- a/modules/gateway/prompt_guard.h
+++ b/modules/gateway/fleet_notice_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/fleet_notices.h"
+#include "dispatch/fleet_rate_limiter.h"
 #include "dispatch/prompt_quarantine.h"
 #include "gateway/decision_log.h"
 #include "gateway/fleet_view.h"
@@ -11,6 +12,8 @@
 #include "platform/store_client.h"
 
 #include <functional>
+#include <map>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -20,17 +23,23 @@
 /// Returns a number as hexadecimal digits, as in the headers of requests.
 std::string to_hex(std::uint64_t number);
 
-/// Keeps prompts that crash servers from them, together with the other instances. Quarantines are
-/// also written to the store, so that they survive the end of all instances.
-class prompt_guard
+/// Shares with the other instances what each learns of servers and prompts, and decides by it:
+/// keeps prompts that crash servers from them, and the requests to a server within the rate that it
+/// names for all instances. Quarantines are also written to the store, so that they survive the end
+/// of all instances.
+class fleet_notice_service
 {
 public:
-    prompt_guard(event_loop& loop, store_client& store, decision_log& log, gateway_metrics& metrics,
-                 std::string instance, const std::string& incarnation);
+    fleet_notice_service(event_loop& loop, store_client& store, decision_log& log,
+                         gateway_metrics& metrics, std::string instance,
+                         const std::string& incarnation);
 
     /// Called when another instance saw a server crash.
     std::function<void(std::uint64_t server)> on_crash_elsewhere;
 
+    /// Returns the id of a server by its server_key, for log lines; empty if it is unknown.
+    std::function<std::string(std::uint64_t server)> server_name;
+
     /// Reads the quarantines that are in force.
     void load();
 
@@ -46,6 +55,15 @@
     [[nodiscard]] prompt_admission admit(const shared_prompt& prompt);
     [[nodiscard]] prompt_admission check(const shared_prompt& prompt) const;
 
+    /// Records the limit, or none, that an answer of the server names. `sent_at`: of its request.
+    void record_limit(const server_entry& server, std::optional<double> per_s, time_ms sent_at);
+
+    /// Returns whether the server's limit leaves this instance a request now.
+    [[nodiscard]] bool may_send(const server_entry& server) const;
+
+    /// Counts a request to the server.
+    void note_sent(const server_entry& server);
+
     /// Handles a message of another instance and returns the replies.
     std::vector<peer_message> receive(const peer_message& message)
     {
@@ -54,6 +72,9 @@
 
 private:
     [[nodiscard]] time_ms now() const;
+    /// Returns the limit that the server names, if any; in requests in 1000 s.
+    [[nodiscard]] std::optional<std::int64_t> limit_of(std::uint64_t server) const;
+    void apply_limit(const limit_notice& notice);
     void notice_changed(const fleet_notice& notice);
     void schedule_evaluation();
     void evaluate();
@@ -69,6 +90,8 @@
     std::minstd_rand random_;
     notice_board board_;
     prompt_quarantine quarantine_;
+    fleet_rate_limiter limiter_;
+    std::map<std::uint64_t, std::optional<std::int64_t>> limits_in_use_; ///< by server
     notice_exchange exchange_;
     bool evaluation_scheduled_{false};
     bool is_known_to_others_{true};
--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -2,8 +2,8 @@
 
 #include "core/digest.h"
 #include "gateway/call_context.h"
+#include "gateway/fleet_notice_service.h"
 #include "gateway/front_server.h"
-#include "gateway/prompt_guard.h"
 #include "gateway/stop_sequence.h"
 #include "gateway/store_relay.h"
 #include "net/event_loop.h"
@@ -135,8 +135,8 @@
         , connections_{loop_}
         , abandoned_{loop_, budgets_, log_}
         , choice_{choice_options(settings_), hash64(incarnation_)}
-        , guard_{loop_, store_, log_, metrics_, settings_.instance, incarnation_}
-        , crashes_{loop_, [this](const server_crash& crash) { guard_.record_crash(crash); }}
+        , notices_{loop_, store_, log_, metrics_, settings_.instance, incarnation_}
+        , crashes_{loop_, [this](const server_crash& crash) { notices_.record_crash(crash); }}
         , context_{loop_,
                    settings_,
                    log_,
@@ -147,7 +147,7 @@
                    abandoned_,
                    choice_,
                    crashes_,
-                   guard_,
+                   notices_,
                    std::minstd_rand{static_cast<std::minstd_rand::result_type>(hash64(incarnation_))},
                    {},
                    0}
@@ -206,9 +206,12 @@
         view_.on_config = [this](const fleet_config_ptr& config) { apply_limits(*config); };
         view_.on_reachable = [this](bool reachable) { grants_.set_store_reachable(reachable); };
         budgets_.on_other_message = [this](const peer_message& message) {
-            return guard_.receive(message);
+            return notices_.receive(message);
         };
-        guard_.on_crash_elsewhere = [this](std::uint64_t server) {
+        notices_.server_name = [this](std::uint64_t server) {
+            return view_.servers().id_of(server);
+        };
+        notices_.on_crash_elsewhere = [this](std::uint64_t server) {
             view_.servers().avoid_crashed(server, loop_.now());
         };
         view_.own_request_rate = [this] { return request_rate_; };
@@ -277,10 +280,10 @@
         grants_.set_fleet(fleet);
         grants_.set_stocks_ahead(view_.is_settled());
         if (view_.knows_instances()) {
-            if (!std::exchange(guard_loaded_, true)) {
-                guard_.load();
+            if (!std::exchange(notices_loaded_, true)) {
+                notices_.load();
             }
-            guard_.set_instances(view_);
+            notices_.set_instances(view_);
             budgets_.set_candidates(view_.home_candidates(),
                                     fleet.self_listed ? grant_role::shared : grant_role::none);
         }
@@ -393,7 +396,7 @@
     server_connections connections_;
     abandoned_request_tracker abandoned_;
     server_choice choice_;
-    prompt_guard guard_;
+    fleet_notice_service notices_;
     server_crash_detector crashes_;
     call_context context_;
     front_server caller_server_;
@@ -402,7 +405,7 @@
     front_server metrics_server_;
     store_relay relay_;
     signal_reader signals_;
-    bool guard_loaded_{false};
+    bool notices_loaded_{false};
     bool stopping_{false};
     bool grants_closing_{false};
     bool ending_{false};
--- a/modules/gateway/peer_messages.cpp
+++ b/modules/gateway/peer_messages.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t max_number_bytes = 9;
 /// Longer quarantines are never made.
 constexpr std::int64_t max_quarantine_level = 64;
+/// A million requests a second, the most that is read of a server's limit.
+constexpr std::int64_t max_limit_per_1000_s = 1'000'000'000;
 
 /// The type of a notice is the index of its alternative in fleet_notice.
 struct notice_fields {
@@ -35,6 +37,10 @@
     {
         return json::array({notice.block, notice.since.count(), notice.level});
     }
+    json operator()(const limit_notice& notice) const
+    {
+        return json::array({notice.server, notice.at.count(), notice.per_1000_s.value_or(-1)});
+    }
 };
 
 /// The type of a message is the index of its alternative in peer_message.
@@ -96,6 +102,14 @@
         return quarantine_notice{fields.at(0).get<std::uint64_t>(), read_stamp(fields.at(1)),
                                  level};
     }
+    case 3: {
+        const auto limit = fields.at(2).get<std::int64_t>();
+        if (limit < -1 || limit > max_limit_per_1000_s) {
+            throw std::invalid_argument{"limit out of range"};
+        }
+        return limit_notice{fields.at(0).get<std::uint64_t>(), read_stamp(fields.at(1)),
+                            limit < 0 ? std::nullopt : std::optional{limit}};
+    }
     default:
         throw std::invalid_argument{"unknown notice type"};
     }
--- a/modules/gateway/tests/peer_messages_tests.cpp
+++ b/modules/gateway/tests/peer_messages_tests.cpp
@@ -14,7 +14,8 @@
             end_reservation{3, 4'500}, end_reservation{4, std::nullopt}, reservation_ended{5},
             share_notices{{crash_notice{1, 2, time_ms{3}, {{4, 5}, {}}},
                            sound_notice{0xffff'ffff'ffff'ffff, time_ms{6}},
-                           quarantine_notice{7, time_ms{8}, 9}}},
+                           quarantine_notice{7, time_ms{8}, 9}, limit_notice{11, time_ms{12}, 1100},
+                           limit_notice{13, time_ms{14}, std::nullopt}}},
             compare_notices{10}};
 }
 }
--- a/tests/gateway/server_limit_tests.cpp
+++ b/tests/gateway/server_limit_tests.cpp
@@ -143,3 +143,24 @@
     wait(seconds(4));
     CHECK(engine.server->take_arrivals().size() > allowed_in_window(6000));
 }
+
+// Incident 22, variant: the store is away when the server first names its limit, and an instance
+// starts again while the limit holds.
+TEST(server_limits, a_limit_holds_while_the_store_is_away_and_over_a_restart)
+{
+    start_fleet(3);
+    callers load{*caller, addresses()};
+    wait(seconds(3)); // until the instances hold tokens
+    auto& plain = fleet->servers().back();
+    fleet->store().refuse_with = 503;
+    CHECK(most_under_limit(plain, 1400, seconds(6)) <= allowed_in_window(1400));
+    fleet->store().refuse_with = 0;
+    auto& restarted = fleet->gateways().front();
+    restarted.process->kill();
+    fleet->start(restarted);
+    CHECK(fleet->wait_ready(restarted));
+    wait(contact_time);
+    plain.server->take_arrivals();
+    wait(seconds(5));
+    CHECK(most_in_window(plain.server->take_arrivals()) <= allowed_in_window(1400));
+}
