Crash detector: see the crash of a server that came back under its id

Cause: losses at a new incarnation of a server that had crashed within the last 5 s were kept with the old entry, and no probe was made for it, so that its second crash went unreported. Callers of prompts that crash servers saw 5 to 7 of them reach servers later than 3 s after the fifth crash. Change: losses at a new incarnation begin a new entry.

--- a/modules/gateway/server_crash_detector.cpp
+++ b/modules/gateway/server_crash_detector.cpp
@@ -74,17 +74,13 @@
     }
     forget_old();
     auto& found = suspects_[server.id];
-    const bool is_new = found.losses.server.empty();
-    if (!is_new && found.losses.incarnation != server.incarnation) {
-        found.losses = {};
+    const bool is_new =
+        found.losses.server.empty() || found.losses.incarnation != server.incarnation;
+    if (is_new) {
+        found.losses = {server.id, server.incarnation, loop_.now(), 0, {}};
+        found.address = server.address;
         found.is_crashed = false;
     }
-    if (found.losses.server.empty()) {
-        found.losses.lost_at = loop_.now();
-    }
-    found.losses.server = server.id;
-    found.losses.incarnation = server.incarnation;
-    found.address = server.address;
     found.last_loss_at = loop_.now();
     ++found.losses.lost_requests;
     if (suspect) {
