Notice exchange: replace connections that went silent

Cause: a connection between instances that goes silent without a reset stayed in use, as nothing noticed that comparisons got no answer; notices went into it until the last one had expired. Change: a peer that does not answer a comparison within 1.5 s gets a new connection, which starts with all notices.

--- a/modules/gateway/notice_exchange.cpp
+++ b/modules/gateway/notice_exchange.cpp
@@ -15,6 +15,8 @@
 constexpr time_ms run_interval{250};
 constexpr time_ms compare_interval{1000};
 constexpr time_ms reconnect_delay{1000};
+/// A peer that has not answered a comparison within this time gets a new connection.
+constexpr time_ms answer_timeout{1500};
 /// Connections stay open this long without anything to tell or to ask.
 constexpr time_ms linger_time{3000};
 } // namespace
@@ -114,10 +116,14 @@
         next_compare_ = loop_.now() + compare_interval;
     }
     for (auto& [instance, peer] : peers_) {
+        // A connection may go silent without an end.
+        if (peer.compared_at && loop_.now() - *peer.compared_at >= answer_timeout) {
+            retire(peer);
+        }
         if (!peer.link || !peer.link->is_open()) {
             connect(instance, peer);
         } else if (compares) {
-            send(peer, compare_notices{board_.digest()});
+            compare(peer);
         }
     }
     run_scheduled_ = true;
@@ -161,6 +167,12 @@
     for (const auto& message : to_messages(board_.all())) {
         send(peer, message);
     }
+    compare(peer);
+}
+
+void notice_exchange::compare(peer_state& peer)
+{
+    peer.compared_at = peer.compared_at.value_or(loop_.now());
     send(peer, compare_notices{board_.digest()});
 }
 
@@ -176,6 +188,7 @@
 void notice_exchange::retire(peer_state& peer)
 {
     peer.is_answering = false;
+    peer.compared_at.reset();
     if (peer.link) {
         peer.link->close();
         loop_.defer([old = std::shared_ptr<peer_link>{std::move(peer.link)}] {});
@@ -186,6 +199,7 @@
 void notice_exchange::receive_reply(peer_state& peer, const peer_message& message)
 {
     peer.is_answering = true;
+    peer.compared_at.reset();
     if (const auto* const shared = std::get_if<share_notices>(&message)) {
         put_all(*shared);
     } else if (const auto* const compared = std::get_if<compare_notices>(&message);
--- a/modules/gateway/notice_exchange.h
+++ b/modules/gateway/notice_exchange.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,7 @@
         std::unique_ptr<peer_link> link;
         std::string address;
         bool is_answering{false}; ///< it has sent something on this connection
+        std::optional<time_ms> compared_at; ///< of a comparison without an answer
         time_ms next_connect{};
     };
 
@@ -60,6 +62,7 @@
     void run();
     void flush();
     void connect(const std::string& instance, peer_state& peer);
+    void compare(peer_state& peer);
     void send(peer_state& peer, const peer_message& message);
     void retire(peer_state& peer);
 
--- a/tests/gateway/crashing_prompt_tests.cpp
+++ b/tests/gateway/crashing_prompt_tests.cpp
@@ -188,3 +188,23 @@
     send_crashing("a1:300,", "b1:50,", seconds(3));
     CHECK_EQUAL(before, fleet->crashes().requests.size());
 }
+
+// Fault: open connections between the instances go silent without a reset. Found by reading the
+// soak's faults: notices went into them until the last one had expired.
+TEST(crashing_prompts, silent_connections_between_instances_keep_no_notice_back)
+{
+    start_fleet(3, 6);
+    sound_callers sound{*caller, addresses()};
+    // A limit in force keeps the connections open.
+    fleet->servers().front().server->limit_per_1000_s = 5000;
+    wait(seconds(2));
+    for (auto& gateway : fleet->gateways()) {
+        gateway.peer_path->silence_open();
+    }
+    wait(seconds(3));
+    fleet->set_crash_block(crash_block);
+    send_crashing("a1:300,", "", seconds(8));
+    const auto history = fleet->crashes();
+    CHECK(history.crashes.size() >= 3);
+    CHECK(history.requests_later_than(crashes_to_learn_from, contact_time) <= max_later_requests);
+}
