Soak: prompts that crash servers, servers with limits, crashes

On the calm site at the end both bounds of the users are checked: a limit over 4 s, and at most 3 requests with a fresh part later than 3 s after the fifth crash.

--- a/apps/soak/fault_plan.cpp
+++ b/apps/soak/fault_plan.cpp
@@ -19,6 +19,12 @@
 
 /// A change must be in force within this time on a calm site; the users' bound.
 constexpr time_ms config_bound{2000};
+/// The users' bounds on servers that name a limit, and on prompts that crash servers.
+constexpr time_ms contact_time{3000};
+constexpr time_ms limit_window{4000};
+constexpr std::size_t crashes_to_learn_from = 5;
+constexpr std::size_t max_later_requests = 3;
+constexpr time_ms crash_check_time{8000};
 /// The store's entries are back within 2 s of its return, and beats within another.
 constexpr time_ms settling{4000};
 
@@ -90,7 +96,7 @@
         open_.erase(open_.begin() + static_cast<std::ptrdiff_t>(i));
         undo();
     }
-    switch (draw(0, 11)) {
+    switch (draw(0, 13)) {
     case 0:
     case 1:
     case 2:
@@ -105,6 +111,9 @@
     case 8:
     case 9:
         return peer_fault();
+    case 10:
+    case 11:
+        return shared_server_fault();
     default:
         return operator_change();
     }
@@ -247,6 +256,26 @@
     }
 }
 
+// Faults of servers that all gateways have to know of.
+std::string fault_plan::shared_server_fault()
+{
+    auto& item = any_server();
+    const auto time = ms(draw(500, 8000));
+    switch (draw(0, 2)) {
+    case 0:
+        site_.set_crash_block(crash_block, draw(0, 1) == 0 ? 1000 : draw(300, 999));
+        later(time, [this] { site_.set_crash_block(0); });
+        return "prompts that crash engines";
+    case 1:
+        item.server->limit_per_1000_s = draw(200, 20'000);
+        later(time, [&item] { item.server->limit_per_1000_s = 0; });
+        return "limit at " + item.server->id();
+    default:
+        site_.crash(item);
+        return "crash of " + item.server->id();
+    }
+}
+
 std::string fault_plan::operator_change()
 {
     if (draw(0, 2) == 0) {
@@ -273,6 +302,52 @@
     }
 }
 
+void fault_plan::check_server_limit()
+{
+    auto& server = *any_server().server;
+    const int limit_per_1000_s = draw(300, 4000);
+    server.limit_per_1000_s = limit_per_1000_s;
+    wait(contact_time);
+    server.take_arrivals();
+    wait(limit_window);
+    const auto got = server.take_arrivals().size();
+    const auto allowed =
+        static_cast<std::size_t>(limit_per_1000_s * limit_window.count() * 3 / 2 / 1'000'000) + 5;
+    if (got > allowed) {
+        violations_.push_back(server.id() + " got " + std::to_string(got) +
+                              " requests in 4 s; its" + " limit allows " + std::to_string(allowed));
+    }
+    server.limit_per_1000_s = 0;
+}
+
+void fault_plan::check_crashing_prompts()
+{
+    constexpr std::uint64_t fresh_block = 0xbad; // no quarantine of before is in force for it
+    constexpr token_count enough_for_the_check = 1'000'000;
+    site_.publish(site_.prepaid() + enough_for_the_check);
+    wait(config_bound);
+    site_.set_crash_block(fresh_block);
+    auto& gateways = site_.gateways();
+    const auto end = now() + crash_check_time;
+    for (std::size_t n = 0; now() < end; ++n) {
+        caller_.call(gateways[n % gateways.size()].listen, site::site_call::note, 1,
+                     "a1:300,bad:100," + std::to_string(n) + ":50");
+        wait(ms(draw(50, 200)));
+    }
+    const auto history = site_.crashes();
+    site_.set_crash_block(0);
+    if (history.crashes.empty()) {
+        violations_.push_back("no request of the check for crashing prompts reached a server");
+    }
+    const auto later = history.requests_later_than(crashes_to_learn_from, contact_time);
+    if (later > max_later_requests) {
+        violations_.push_back(std::to_string(later) +
+                              " requests with a part that crashes servers " +
+                              "reached them later than 3 s after the fifth crash");
+    }
+    site_.wait_restarted();
+}
+
 void fault_plan::check_calm()
 {
     wait(seconds(9)); // longer than a stop takes
@@ -293,6 +368,8 @@
                                   std::to_string(version));
         }
     }
+    check_server_limit();
+    check_crashing_prompts();
     // Streams that began before a stop end whole.
     auto& stopping = site_.gateways().front();
     std::atomic<int> cut{0};
--- a/apps/soak/fault_plan.h
+++ b/apps/soak/fault_plan.h
@@ -2,6 +2,7 @@
 
 #include "standins/site/site_caller.h"
 
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <random>
@@ -27,6 +28,10 @@
     /// How long to wait before the next step.
     [[nodiscard]] time_ms pause();
 
+    /// Shared part of prompts that crashes servers while a fault says so.
+    static constexpr std::uint64_t crash_block = 0xdead;
+    static constexpr const char* crashing_prefix = "a1:300,dead:100,";
+
     /// Checks on an otherwise calm site: a change is in force everywhere, and a stop cuts nothing.
     void check_calm();
 
@@ -49,6 +54,11 @@
     std::string peer_fault();
     std::string server_fault();
     std::string operator_change();
+    std::string shared_server_fault();
+    /// Checks that the gateways keep a prompt that crashes servers from them.
+    void check_crashing_prompts();
+    /// Checks that the gateways together keep to the limit that a server names.
+    void check_server_limit();
 
     site::site& site_;
     site::site_caller& caller_;
--- a/modules/gateway/notice_exchange.h
+++ b/modules/gateway/notice_exchange.h
@@ -50,7 +50,7 @@
     struct peer_state {
         std::unique_ptr<peer_link> link;
         std::string address;
-        bool is_answering{false}; ///< it has sent something on this connection
+        bool is_answering{false};           ///< it has sent something on this connection
         std::optional<time_ms> compared_at; ///< of a comparison without an answer
         time_ms next_connect{};
     };
