Quarantine: see a fault that comes back soon; count common causes

Cause: a part whose quarantine had ended, and that was in use again, needed six crashes later than 2 s after its last answer when the fault came back: up to 13 requests reached servers later than 3 s after the fifth crash (trials with other thresholds instead blamed sound blocks in crash storms). Change: a quarantine is remembered for five minutes after it has lapsed; its block is blamed for two crashes without a sound answer after them. Other crashes among those that a block explains raise the number by one for two, and moments at which three servers crash by one each.

--- a/modules/dispatch/fleet_notices.cpp
+++ b/modules/dispatch/fleet_notices.cpp
@@ -128,6 +128,11 @@
     return quarantine.since + duration_of(quarantine);
 }
 
+time_ms notice_board::lapse_of(const quarantine_notice& quarantine) const
+{
+    return quarantine.since + duration_of(quarantine) * 2;
+}
+
 time_ms notice_board::expiry_of(const crash_notice& notice) const
 {
     return notice.at + options_.crash_retention;
@@ -140,7 +145,7 @@
 
 time_ms notice_board::expiry_of(const quarantine_notice& notice) const
 {
-    return notice.since + duration_of(notice) * 2;
+    return lapse_of(notice) + options_.quarantine_memory;
 }
 
 time_ms notice_board::expiry_of(const limit_notice& notice) const
--- a/modules/dispatch/fleet_notices.h
+++ b/modules/dispatch/fleet_notices.h
@@ -72,7 +72,8 @@
     time_ms sound_retention{60'000}; ///< longer, so that no crash counts for lack of its answer
     time_ms quarantine_time{30'000}; ///< at level 0; doubles with each level
     time_ms max_quarantine_time{600'000};
-    time_ms limit_retention{60'000}; ///< of a limit that is not named again
+    time_ms quarantine_memory{300'000}; ///< after it has lapsed
+    time_ms limit_retention{60'000};    ///< of a limit that is not named again
     /// A stamp may lie this far ahead of the store's time, which each instance only estimates.
     time_ms max_clock_error{2000};
     std::size_t max_notices{2048}; ///< of each kind
@@ -110,6 +111,8 @@
 
     /// Returns when a quarantine ends.
     [[nodiscard]] time_ms end_of(const quarantine_notice& quarantine) const;
+    /// Returns when it lapses, if no trial has shown anything after its end.
+    [[nodiscard]] time_ms lapse_of(const quarantine_notice& quarantine) const;
 
     [[nodiscard]] std::vector<fleet_notice> all() const;
     [[nodiscard]] bool empty() const;
--- a/modules/dispatch/prompt_quarantine.cpp
+++ b/modules/dispatch/prompt_quarantine.cpp
@@ -57,10 +57,11 @@
     }
 }
 
-bool prompt_quarantine::is_clear_of(std::uint64_t block, time_ms crashed_at) const
+bool prompt_quarantine::is_clear_of(std::uint64_t block, time_ms crashed_at, time_ms now) const
 {
     const auto sound = last_sound(block);
-    return sound && *sound > crashed_at - options_.sound_grace;
+    const auto grace = past_quarantine(block, now) == nullptr ? options_.sound_grace : time_ms{0};
+    return sound && *sound > crashed_at - grace;
 }
 
 void prompt_quarantine::publish_sound(std::uint64_t block, time_ms now)
@@ -71,10 +72,10 @@
     }
     const auto quarantine = board_.quarantines().find(block);
     const bool is_counted =
-        (quarantine != board_.quarantines().end() && is_in_force(quarantine->second)) ||
+        (quarantine != board_.quarantines().end() && is_in_force(quarantine->second, now)) ||
         std::any_of(board_.crashes().begin(), board_.crashes().end(), [&](const auto& entry) {
             const auto& prompts = entry.second.suspects;
-            return !is_clear_of(block, entry.second.at) &&
+            return !is_clear_of(block, entry.second.at, now) &&
                    std::any_of(prompts.begin(), prompts.end(),
                                [block](const auto& suspect) { return contains(suspect, block); });
         });
@@ -127,24 +128,31 @@
     return distinct;
 }
 
-bool prompt_quarantine::is_in_force(const quarantine_notice& quarantine) const
+bool prompt_quarantine::is_in_force(const quarantine_notice& quarantine, time_ms now) const
 {
     const auto sound = last_sound(quarantine.block);
-    return !sound || *sound <= quarantine.since;
+    return now < board_.lapse_of(quarantine) && (!sound || *sound <= quarantine.since);
 }
 
-bool prompt_quarantine::has_quarantined_block(const crash& merged) const
+const quarantine_notice* prompt_quarantine::past_quarantine(std::uint64_t block, time_ms now) const
 {
-    return std::any_of(merged.prompts.begin(), merged.prompts.end(), [this](const auto& prompt) {
-        return std::any_of(prompt.begin(), prompt.end(), [this](auto block) {
+    const auto found = board_.quarantines().find(block);
+    return found == board_.quarantines().end() || is_in_force(found->second, now) ? nullptr
+                                                                                  : &found->second;
+}
+
+bool prompt_quarantine::has_quarantined_block(const crash& merged, time_ms now) const
+{
+    return std::any_of(merged.prompts.begin(), merged.prompts.end(), [&](const auto& prompt) {
+        return std::any_of(prompt.begin(), prompt.end(), [&](auto block) {
             const auto found = board_.quarantines().find(block);
-            return found != board_.quarantines().end() && is_in_force(found->second);
+            return found != board_.quarantines().end() && is_in_force(found->second, now);
         });
     });
 }
 
-prompt_quarantine::evidence_map
-prompt_quarantine::evidence_in(const std::vector<crash>& crashes) const
+prompt_quarantine::evidence_map prompt_quarantine::evidence_in(const std::vector<crash>& crashes,
+                                                               time_ms now) const
 {
     evidence_map evidence;
     for (std::size_t i = 0; i < crashes.size(); ++i) {
@@ -153,7 +161,7 @@
         }
         for (const auto& prompt : crashes[i].prompts) {
             for (const auto block : prompt) {
-                if (!is_clear_of(block, crashes[i].at)) {
+                if (!is_clear_of(block, crashes[i].at, now)) {
                     evidence[block].insert(i);
                 }
             }
@@ -174,7 +182,7 @@
     for (const auto& entry : board_.quarantines()) {
         const auto& quarantine = entry.second;
         const auto block = quarantine.block;
-        if (!is_in_force(quarantine)) {
+        if (!is_in_force(quarantine, now)) {
             continue;
         }
         std::optional<time_ms> crashed_at;
@@ -201,7 +209,8 @@
 }
 
 std::vector<std::uint64_t> prompt_quarantine::find_cause(const std::vector<crash>& crashes,
-                                                         const evidence_map& evidence) const
+                                                         const evidence_map& evidence,
+                                                         time_ms now) const
 {
     const auto best =
         std::max_element(evidence.begin(), evidence.end(), [](const auto& a, const auto& b) {
@@ -230,10 +239,21 @@
             most_of_others = std::max(most_of_others, crashes_with_it.size());
         }
     }
-    const auto base = was_sound ? options_.min_crashes_if_sound : options_.min_crashes;
+    // What has crashed servers before needs less evidence, so that a fault that comes back is seen
+    // soon.
+    const bool is_known = past_quarantine(best->first, now) != nullptr;
+    const auto base = is_known    ? options_.min_crashes_again
+                      : was_sound ? options_.min_crashes_if_sound
+                                  : options_.min_crashes;
+    const std::size_t margin = is_known ? 1 : options_.min_margin;
     const auto crashes_among_them = *explained.rbegin() - *explained.begin() + 1;
-    const auto needed = base + crashes_among_them - explained.size();
-    return explained.size() >= std::max(needed, most_of_others + options_.min_margin)
+    // Crashes with a common cause show that the servers or their hosts are at fault.
+    const auto common_causes = static_cast<std::size_t>(
+        std::count_if(crashes.begin(), crashes.end(), [this](const auto& merged) {
+            return merged.servers >= options_.min_common_crashes;
+        }));
+    const auto needed = base + (crashes_among_them - explained.size()) / 2 + common_causes;
+    return explained.size() >= std::max(needed, most_of_others + margin)
                ? cause
                : std::vector<std::uint64_t>{};
 }
@@ -253,12 +273,14 @@
     extend_quarantines(crashes, now, added);
     while (true) {
         std::erase_if(crashes,
-                      [this](const auto& merged) { return has_quarantined_block(merged); });
-        const auto evidence = evidence_in(crashes);
-        const auto cause = find_cause(crashes, evidence);
+                      [&](const auto& merged) { return has_quarantined_block(merged, now); });
+        const auto evidence = evidence_in(crashes, now);
+        const auto cause = find_cause(crashes, evidence, now);
         bool is_new = false;
         for (const auto block : cause) {
-            const quarantine_notice quarantine{block, crashes[*evidence.at(block).rbegin()].at, 0};
+            const auto* const past = past_quarantine(block, now);
+            const quarantine_notice quarantine{block, crashes[*evidence.at(block).rbegin()].at,
+                                               past == nullptr ? 0 : past->level + 1};
             if (now - quarantine.since <= options_.max_crash_age && board_.put(quarantine, now)) {
                 added.push_back(quarantine);
                 is_new = true;
@@ -302,7 +324,7 @@
             continue;
         }
         const auto& quarantine = found->second;
-        if (!is_in_force(quarantine)) {
+        if (!is_in_force(quarantine, now)) {
             continue;
         }
         const auto end = board_.end_of(quarantine);
--- a/modules/dispatch/prompt_quarantine.h
+++ b/modules/dispatch/prompt_quarantine.h
@@ -15,16 +15,20 @@
 
 /// Settings of a prompt_quarantine.
 struct prompt_quarantine_options {
-    /// Crashes that a block must explain, and one more for each other crash among them.
+    /// Crashes that a block must explain, and one more for every two others among them.
     std::size_t min_crashes{4};
     /// The same for a block that has had sound answers lately.
     std::size_t min_crashes_if_sound{6};
+    /// The same for a block whose quarantine has ended lately.
+    std::size_t min_crashes_again{2};
     /// A block must explain this many crashes more than any other that is not always with it.
     std::size_t min_margin{2};
     /// A crash does not count for a block with a sound answer later than this time before it.
     time_ms sound_grace{2000};
     /// Servers that crash within this time have a common cause, which no request is.
     time_ms coincidence{15};
+    /// This many servers at one moment also raise the number that a block must explain by one.
+    std::size_t min_common_crashes{3};
     /// Age from which on a crash counts, so that all instances' notices of it have arrived.
     time_ms settling_time{400};
     /// A crash that is older cannot complete the evidence against a block.
@@ -94,18 +98,23 @@
 
     /// Publishes the last sound answer here if a crash counts against the block without it.
     void publish_sound(std::uint64_t block, time_ms now);
-    [[nodiscard]] bool is_clear_of(std::uint64_t block, time_ms crashed_at) const;
+    /// Returns whether a sound answer shows that the block did not cause a crash.
+    [[nodiscard]] bool is_clear_of(std::uint64_t block, time_ms crashed_at, time_ms now) const;
     [[nodiscard]] std::optional<time_ms> last_sound(std::uint64_t block) const;
     [[nodiscard]] std::vector<crash> settled_crashes(time_ms now) const;
-    /// Returns whether no sound answer has shown since that the quarantine is wrong or over.
-    [[nodiscard]] bool is_in_force(const quarantine_notice& quarantine) const;
-    [[nodiscard]] bool has_quarantined_block(const crash& merged) const;
-    [[nodiscard]] evidence_map evidence_in(const std::vector<crash>& crashes) const;
+    /// Returns whether the quarantine has not lapsed, and no sound answer has shown since that it
+    /// is wrong or over.
+    [[nodiscard]] bool is_in_force(const quarantine_notice& quarantine, time_ms now) const;
+    /// Returns the quarantine of a block that is no longer in force but remembered; null if none
+    /// is.
+    [[nodiscard]] const quarantine_notice* past_quarantine(std::uint64_t block, time_ms now) const;
+    [[nodiscard]] bool has_quarantined_block(const crash& merged, time_ms now) const;
+    [[nodiscard]] evidence_map evidence_in(const std::vector<crash>& crashes, time_ms now) const;
     void extend_quarantines(const std::vector<crash>& crashes, time_ms now,
                             std::vector<quarantine_notice>& added);
     /// Returns the blocks to blame: one, or several that no crash tells apart.
-    [[nodiscard]] std::vector<std::uint64_t> find_cause(const std::vector<crash>& crashes,
-                                                        const evidence_map& evidence) const;
+    [[nodiscard]] std::vector<std::uint64_t>
+    find_cause(const std::vector<crash>& crashes, const evidence_map& evidence, time_ms now) const;
     [[nodiscard]] bool may_try(const quarantine_notice& quarantine, time_ms now) const;
 
     notice_board& board_;
