Quarantine rows of the store: check their ranges; name the block of a trial

Cause: a level out of range in a row would overflow when the next level is made of it; the line of a trial named no block. Change: rows with numbers out of range are left out. Measured: a_restart_of_the_fleet_forgets_no_quarantine holds.

--- a/modules/dispatch/prompt_quarantine.cpp
+++ b/modules/dispatch/prompt_quarantine.cpp
@@ -330,6 +330,7 @@
         const auto end = board_.end_of(quarantine);
         if (now >= end && may_try(quarantine, now)) {
             admission.is_trial = true;
+            admission.block = block;
             continue;
         }
         return {false, false, block, std::max(end - now, options_.trial_slot)};
--- a/modules/dispatch/prompt_quarantine.h
+++ b/modules/dispatch/prompt_quarantine.h
@@ -45,7 +45,7 @@
 struct prompt_admission {
     bool is_admitted{true};
     bool is_trial{false};   ///< the request tries out a block whose quarantine is over
-    std::uint64_t block{0}; ///< in quarantine, if not admitted
+    std::uint64_t block{0}; ///< that is in quarantine, or tried out
     time_ms retry_after{};  ///< if not admitted
 
     friend bool operator==(const prompt_admission&, const prompt_admission&) = default;
--- a/modules/gateway/fleet_notice_service.cpp
+++ b/modules/gateway/fleet_notice_service.cpp
@@ -41,6 +41,21 @@
     }
     return text;
 }
+/// Reads one quarantine of a row of the store; nothing if it is malformed.
+std::optional<quarantine_notice> read_quarantine(const nlohmann::json& fields)
+{
+    constexpr std::int64_t max_level = 64;
+    if (!fields.is_array() || fields.size() != 3 || !fields[0].is_number_unsigned() ||
+        !fields[1].is_number_unsigned() || !fields[2].is_number_unsigned()) {
+        return std::nullopt;
+    }
+    const auto since = fields[1].get<std::int64_t>();
+    const auto level = fields[2].get<std::int64_t>();
+    return since >= 0 && level >= 0 && level <= max_level
+               ? std::optional{quarantine_notice{fields[0].get<std::uint64_t>(), time_ms{since},
+                                                 level}}
+               : std::nullopt;
+}
 } // namespace
 
 std::string to_hex(std::uint64_t number)
@@ -84,12 +99,8 @@
                 continue;
             }
             for (const auto& row : rows) {
-                if (row.is_array() && row.size() == 3 && row[0].is_number_unsigned() &&
-                    row[1].is_number_integer() && row[2].is_number_integer()) {
-                    board_.put(quarantine_notice{row[0].get<std::uint64_t>(),
-                                                 time_ms{row[1].get<std::int64_t>()},
-                                                 row[2].get<std::int64_t>()},
-                               now());
+                if (const auto quarantine = read_quarantine(row)) {
+                    board_.put(*quarantine, now());
                 }
             }
         }
@@ -145,7 +156,8 @@
         metrics_.count("quarantine_refusals");
     } else if (admission.is_trial) {
         metrics_.count("quarantine_trials");
-        log_.write("quarantine_trial", log_fields{}, loop_.now());
+        log_.write("quarantine_trial", log_fields{}.add("block", to_hex(admission.block)),
+                   loop_.now());
     }
     return admission;
 }
