--- a/modules/standins/site/raw_server.cpp
+++ b/modules/standins/site/raw_server.cpp
@@ -86,7 +86,7 @@
     ::setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &no_linger, sizeof no_linger);
     sockaddr nowhere{};
     nowhere.sa_family = AF_UNSPEC;
-    ::connect(descriptor_, &nowhere, sizeof nowhere);
+    (void)::connect(descriptor_, &nowhere, sizeof nowhere);
 }
 
 bool raw_connection::wait_closed(time_ms limit) const
--- a/modules/standins/site/site.cpp
+++ b/modules/standins/site/site.cpp
@@ -37,7 +37,8 @@
     , prepaid_{options.prepaid}
 {
     publish();
-    servers_.reserve(static_cast<std::size_t>(options.engines + options.plain_servers));
+    servers_.reserve(static_cast<std::size_t>(options.engines) +
+                     static_cast<std::size_t>(options.plain_servers));
     const auto add = [&](const std::string& id, const char* service) {
         site_server made;
         made.server =
