--- a/review/build.sh
+++ b/review/build.sh
@@ -10,7 +10,7 @@
   -I. -Imodules -Ireview/tests)
 objects=()
 pids=()
-for source in review/tests/harness.cpp "${shared[@]}"; do
+for source in review/tests/{harness,crashing_prompts}.cpp "${shared[@]}"; do
   object=target/review/$(basename "${source%.cpp}").o
   objects+=("$object")
   g++ "${flags[@]}" -c "$source" -o "$object" &
