--- a/review/tests/crashing_prompts.cpp
+++ b/review/tests/crashing_prompts.cpp
@@ -1,6 +1,7 @@
 #include "crashing_prompts.h"
 
 #include <array>
+#include <cstdio>
 
 namespace review
 {
@@ -9,8 +10,10 @@
 {
 constexpr int engine_count = 9;
 constexpr int gateway_count = 3;
-constexpr int sound_clients = 6;
+constexpr int sound_clients = 12;
 constexpr int session_count = 7;
+constexpr int event_count = 10;
+constexpr std::int64_t event_interval_ms = 100;
 constexpr std::int64_t down_ms = 3000;
 constexpr std::int64_t contact_ms = 3000;
 constexpr std::size_t learning_crashes = 5;
@@ -60,13 +63,19 @@
             crash();
             return;
         }
-        std::string body;
-        for (int number = 1; number <= 4; ++number) {
-            body += "id: " + std::to_string(number) + "\ndata: " + id + "\n\n";
+        connection.send(
+            "HTTP/1.1 200 OK\r\n" + common + "X-Server-Signature: s-" + id_ +
+            "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+        for (int number = 1; number <= event_count; ++number) {
+            const auto text = "id: " + std::to_string(number) + "\ndata: " + id + "\n\n";
+            std::array<char, 16> size{};
+            std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
+            if (!connection.send(size.data() + text + "\r\n")) {
+                return;
+            }
+            sleep_ms(event_interval_ms);
         }
-        connection.send("HTTP/1.1 200 OK\r\n" + common + "X-Server-Signature: s-" + id_ +
-                        "\r\nContent-Type: text/event-stream\r\nContent-Length: " +
-                        std::to_string(body.size()) + "\r\n\r\n" + body);
+        connection.send("0\r\n\r\n");
     }
 
     void crash()
@@ -118,7 +127,7 @@
 
     std::atomic<bool> is_over{false};
     std::atomic<int> sound_sent{0};
-    std::atomic<int> sound_complete{0};
+    std::atomic<int> sound_cut{0};
     std::vector<std::thread> clients;
     for (int i = 0; i < sound_clients; ++i) {
         clients.emplace_back([&, i] {
@@ -130,7 +139,8 @@
                 connection.send(
                     client_request("POST", "/note/x", id, 4000, prompt(parts), "prompt"));
                 ++sound_sent;
-                sound_complete += connection.receive(5000).is_complete ? 1 : 0;
+                const auto answer = connection.receive(5000);
+                sound_cut += answer.status == 200 && !answer.is_complete ? 1 : 0;
                 sleep_ms(50);
             }
         });
@@ -176,11 +186,12 @@
             later += arrival > limit ? 1 : 0;
         }
     }
-    log.add(std::to_string(sound_complete) + " of " + std::to_string(sound_sent) +
-            " sound requests answered; " + std::to_string(sent) + " requests with the part sent, " +
-            std::to_string(past.arrivals.size()) + " reached servers, " +
-            std::to_string(past.crashes.size()) + " crashes; " + std::to_string(later) +
-            " reached servers later than " + std::to_string(contact_ms) + " ms after the fifth");
+    log.add(std::to_string(sound_sent) + " sound requests sent, " + std::to_string(sound_cut) +
+            " of their answers cut by crashes; " + std::to_string(sent) +
+            " requests with the part sent, " + std::to_string(past.arrivals.size()) +
+            " reached servers, " + std::to_string(past.crashes.size()) + " crashes; " +
+            std::to_string(later) + " reached servers later than " + std::to_string(contact_ms) +
+            " ms after the fifth");
     return later <= max_later_requests;
 }
 
