--- a/review/tests/crashing_prompts.cpp
+++ b/review/tests/crashing_prompts.cpp
@@ -9,7 +9,6 @@
 namespace
 {
 constexpr int engine_count = 9;
-constexpr int gateway_count = 3;
 constexpr int sound_clients = 12;
 constexpr int session_count = 7;
 constexpr int event_count = 10;
@@ -120,9 +119,9 @@
     for (int i = 0; i < engine_count; ++i) {
         engines.push_back(std::make_unique<engine>("engine-" + std::to_string(i), site, past, log));
     }
-    site.start_gateways(gateway_count);
-    const auto gateway = [&site](int number) -> const gateway_process& {
-        return *site.gateways()[static_cast<std::size_t>(number % gateway_count)];
+    site.start_gateways(traffic.gateways);
+    const auto gateway = [&](int number) -> const gateway_process& {
+        return *site.gateways()[static_cast<std::size_t>(number % traffic.gateways)];
     };
 
     std::atomic<bool> is_over{false};
@@ -147,15 +146,13 @@
     }
     sleep_ms(1000);
     int sent = 0;
-    for (int n = 0; n < traffic.rounds; ++n) {
-        const auto start = now_ms() + 100;
+    const auto send_at_once = [&](int count) {
         std::vector<std::thread> senders;
-        for (int i = 0; i < traffic.at_once; ++i, ++sent) {
-            senders.emplace_back([&, start, number = sent] {
+        for (int i = 0; i < count; ++i, ++sent) {
+            senders.emplace_back([&, number = sent] {
                 const auto& machine = gateway(number);
                 const auto id = "crashing-" + std::to_string(number);
                 client_connection connection{machine.address()};
-                sleep_ms(start - now_ms());
                 log.add(id + " is sent to " + machine.name());
                 const auto parts = traffic.first_parts + ",dead:100,b" +
                                    std::to_string(number % session_count) + ":100,d" +
@@ -168,10 +165,16 @@
         for (auto& sender : senders) {
             sender.join();
         }
+    };
+    for (int n = 0; n < traffic.rounds; ++n) {
+        const auto next = now_ms() + traffic.interval_ms;
+        send_at_once(1);
         if (n + 1 < traffic.rounds) {
-            sleep_ms(start + traffic.interval_ms - now_ms());
+            sleep_ms(next - now_ms());
         }
     }
+    sleep_ms(traffic.pause_ms);
+    send_at_once(traffic.last_at_once);
     is_over = true;
     for (auto& client : clients) {
         client.join();
