--- a/review/tests/crashing_prompts.cpp
+++ b/review/tests/crashing_prompts.cpp
@@ -86,6 +86,7 @@
         const std::lock_guard lock{past_.mutex};
         past_.crashes.push_back(now_ms());
         server_.crash();
+        site_.stop_reports(id_);
         past_.restarts.emplace_back([this] {
             sleep_ms(down_ms);
             server_.restart();
