Review: cases that run at the same time use different loopback addresses

Of 18 programs started at the same moment four could not run (exit 2): programs whose process ids are equal modulo 250 chose the same addresses. Each address is now reserved while the program runs.

--- a/review/tests/harness.cpp
+++ b/review/tests/harness.cpp
@@ -73,21 +73,33 @@
     return port;
 }
 
-/// Returns an address of 127.0.0.0/8 that nobody uses, for one machine of the deployment.
+/// Returns an address of 127.0.0.0/8 that nobody uses, for one machine of the deployment. Other
+/// cases that run at the same time get other addresses.
 std::string free_ip()
 {
     static int next = 0;
     constexpr int metrics_port = 9464; // fixed by the settings template
+    constexpr int reservation_port = 9463;
     constexpr int max_tries = 250;
     for (int i = 0; i < max_tries; ++i) {
         const auto number = next++;
         const auto ip = "127.81." + std::to_string(::getpid() % 250) + "." +
                         std::to_string(1 + number % max_tries);
-        const int descriptor = bind_socket(ip, metrics_port);
-        if (descriptor >= 0) {
-            ::close(descriptor);
-            return ip;
+        // Listens until the program ends, which keeps others from the address.
+        const int reservation = bind_socket(ip, reservation_port);
+        if (reservation < 0) {
+            continue;
+        }
+        const int metrics = bind_socket(ip, metrics_port);
+        if (::listen(reservation, 1) != 0 || metrics < 0 || ::listen(metrics, 1) != 0) {
+            ::close(reservation);
+            if (metrics >= 0) {
+                ::close(metrics);
+            }
+            continue;
         }
+        ::close(metrics);
+        return ip;
     }
     throw std::runtime_error{"no free loopback address"};
 }
