A request never uses a connection that has carried its id before

Cause: an answer is matched with its request by the id alone, and the id is the same each time. Within one call the second attempt goes to another server; a call that comes back under its id may get the connection of the first.

Change: a connection remembers the ids that it has carried, and the pool gives it to no request with one of them.

Test: server_faults, a_late_copy_of_a_refusal_is_no_answer_to_the_same_request.

--- a/modules/gateway/call.cpp
+++ b/modules/gateway/call.cpp
@@ -221,7 +221,8 @@
     context_.notices.note_sent(server.entry);
 
     connection_ = context_.connections.take(
-        server_address_, may_run_again() ? max_idle_if_rerunnable : max_idle_if_not_rerunnable);
+        server_address_, may_run_again() ? max_idle_if_rerunnable : max_idle_if_not_rerunnable,
+        request_.id);
     sent_at_ = now;
     state_ = state_ == run_state::ran ? run_state::ran : run_state::sent;
     ++attempts_;
--- a/modules/net/http_exchange.cpp
+++ b/modules/net/http_exchange.cpp
@@ -1,5 +1,6 @@
 #include "net/http_exchange.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -72,6 +73,11 @@
     stream_.write(request);
 }
 
+bool http_exchange::has_carried(std::uint64_t key) const
+{
+    return std::find(request_keys_.begin(), request_keys_.end(), key) != request_keys_.end();
+}
+
 bool http_exchange::stop_sending(exchange_listener& listener)
 {
     if (response_accepted_ || reader_.in_message() || !stream_.stop_sending()) {
--- a/modules/net/http_exchange.h
+++ b/modules/net/http_exchange.h
@@ -6,9 +6,11 @@
 #include "net/http_reader.h"
 #include "net/tcp_stream.h"
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace jujubevalve
 {
@@ -57,6 +59,11 @@
     /// Call it only while is_reusable() returns true.
     void send(std::string_view request, bool head_only, exchange_listener& listener);
 
+    /// Marks the next request, so that has_carried() tells whether one with the same key was sent
+    /// before: a server may send a late copy of the earlier response.
+    void mark_request(std::uint64_t key) { request_keys_.push_back(key); }
+    [[nodiscard]] bool has_carried(std::uint64_t key) const;
+
     /// Closes the sending side of the connection and passes further events to the new listener.
     /// Returns false without effect unless the whole request has been sent and no response has
     /// begun.
@@ -74,6 +81,9 @@
     /// Whether more than one request has been sent on this connection.
     [[nodiscard]] bool is_reused() const { return request_count_ > 1; }
 
+    /// Number of requests sent on this connection.
+    [[nodiscard]] int request_count() const { return request_count_; }
+
     /// Whether the TCP connection has been established.
     [[nodiscard]] bool is_connected() const { return stream_.is_connected(); }
 
@@ -103,6 +113,7 @@
     bool head_only_{false};
     bool closed_cleanly_{false};
     int request_count_{0};
+    std::vector<std::uint64_t> request_keys_; ///< of marked requests
     time_ms idle_since_;
     time_ms peer_idle_limit_{};
 };
--- a/tests/gateway/server_fault_tests.cpp
+++ b/tests/gateway/server_fault_tests.cpp
@@ -147,6 +147,55 @@
     CHECK(caller->complete() >= 24 * 6); // half: a connection that served wrong bytes is closed
 }
 
+// Fault: a server sends a refusal once more, late, where the caller has come back under the same id
+// and the server runs the request. Guards against "not run" for a request that has run.
+TEST(server_faults, a_late_copy_of_a_refusal_is_no_answer_to_the_same_request)
+{
+    start_fleet();
+    std::mutex mutex;
+    std::map<std::string, const raw_connection*> refused_on; // by request
+    raw_server orders{[&](const raw_connection& connection, const raw_request& request) {
+        bool is_first = false;
+        bool is_refused_here = false;
+        {
+            const std::lock_guard lock{mutex};
+            is_first = refused_on.try_emplace(request.id, &connection).second;
+            is_refused_here = refused_on[request.id] == &connection;
+        }
+        const auto refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: " + request.id +
+                             "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+        if (is_first) {
+            connection.send(refusal);
+            return;
+        }
+        begin_run(request);
+        if (is_refused_here) {
+            connection.send(refusal); // the copy
+        }
+        wait(time_ms{5});
+        connection.send(with_length("X-Request-Id: " + request.id + "\r\nX-Server-Signature: " +
+                                        signature_of(request.id) + "\r\n",
+                                    plain_body(request.id)));
+    }};
+    announce("raw", "orders", orders.address());
+    for (const std::string target : {"POST /order/x", "GET /stock/x"}) {
+        for (int i = 0; i < 5; ++i) {
+            const auto id = target.substr(0, target.find(' ')) + std::to_string(i);
+            const auto request = target + " HTTP/1.1\r\nHost: " + std::string{deployment::host} +
+                                 "\r\nX-Request-Id: " + id +
+                                 "\r\nX-Deadline-Ms: 2000\r\nX-Key: key-1\r\n"
+                                 "Content-Length: 0\r\n\r\n";
+            raw_caller returning{gateway()};
+            returning.send(request);
+            const auto refused = returning.receive_until("}}", seconds(2));
+            CHECK(refused.starts_with("HTTP/1.1 503 "));
+            returning.send(request);
+            const auto answer = returning.receive_until(plain_body(id), seconds(2));
+            CHECK_TEXT(answer.starts_with("HTTP/1.1 200 "), answer.c_str());
+        }
+    }
+}
+
 // Fault: a server sends its answer without an id, as an intermediary before it might. Its callers
 // are served all the same, each on a connection of its own.
 TEST(server_faults, a_server_that_names_no_ids_serves_its_callers)
