Soak: kept connections, servers with faults on the wire, planned work alone

The soak's callers used a new connection for each request and a client library that hides what it cannot parse, and its servers could not send an answer twice.

A stop no longer kills a process that another fault has brought back.

--- a/apps/soak/fault_plan.cpp
+++ b/apps/soak/fault_plan.cpp
@@ -85,7 +85,7 @@
     }
 }
 
-std::string fault_plan::step()
+void fault_plan::undo_due()
 {
     for (std::size_t i = 0; i < open_.size();) {
         if (open_[i].until > now()) {
@@ -96,6 +96,31 @@
         open_.erase(open_.begin() + static_cast<std::ptrdiff_t>(i));
         undo();
     }
+}
+
+std::string fault_plan::step_planned()
+{
+    undo_due();
+    switch (draw(0, 3)) {
+    case 0:
+    case 1:
+        return stop(any_gateway());
+    case 2: {
+        auto& gateway = any_gateway();
+        gateway.process->send(SIGHUP);
+        return "reload " + gateway.name;
+    }
+    default:
+        return operator_change();
+    }
+}
+
+std::string fault_plan::step()
+{
+    undo_due();
+    if (!site_.faulty_servers().empty() && draw(0, 3) == 0) {
+        return wire_fault();
+    }
     switch (draw(0, 13)) {
     case 0:
     case 1:
@@ -132,13 +157,7 @@
         later(ms(draw(300, 5000)), [&gateway] { gateway.process->send(SIGCONT); });
         return "pause " + gateway.name;
     case 2:
-        gateway.process->send(SIGTERM);
-        later(ms(draw(8200, 9000)), [this, &gateway] {
-            gateway.process->send(SIGKILL);
-            gateway.process->wait_ended(seconds(1));
-            restart(gateway);
-        });
-        return "stop " + gateway.name;
+        return stop(gateway);
     case 3:
         gateway.process->send(SIGHUP);
         return "reload " + gateway.name;
@@ -156,6 +175,49 @@
     }
 }
 
+std::string fault_plan::stop(site_gateway& gateway)
+{
+    gateway.process->send(SIGTERM);
+    later(ms(draw(8200, 9000)), [this, &gateway, stopped = gateway.process.get()] {
+        if (gateway.process.get() != stopped) {
+            return; // another fault has brought it back already
+        }
+        gateway.process->send(SIGKILL);
+        gateway.process->wait_ended(seconds(1));
+        restart(gateway);
+    });
+    return "stop " + gateway.name;
+}
+
+// Several at once, at one server or at all, so that one fault meets the consequences of another.
+std::string fault_plan::wire_fault()
+{
+    auto& all = site_.faulty_servers();
+    const auto chosen = static_cast<std::size_t>(draw(0, static_cast<int>(all.size()) - 1));
+    const bool is_everywhere = draw(0, 1) == 0;
+    const auto time = ms(draw(1000, 8000));
+    std::string name = is_everywhere ? "at all faulty servers:" : "at " + all[chosen]->id() + ":";
+    const auto raise = [&](std::atomic<int> site::faulty_server::*rate, const char* what) {
+        if (draw(0, 1) == 0) {
+            return;
+        }
+        const int share = draw(50, 900);
+        for (std::size_t i = 0; i < all.size(); ++i) {
+            if (is_everywhere || i == chosen) {
+                (*all[i]).*rate = share;
+                later(time, [&server = *all[i], rate] { server.*rate = 0; });
+            }
+        }
+        name += std::string{" "} + what;
+    };
+    raise(&site::faulty_server::repeat, "answers twice");
+    raise(&site::faulty_server::refuse, "refusals");
+    raise(&site::faulty_server::fail, "errors");
+    raise(&site::faulty_server::break_off, "broken streams");
+    raise(&site::faulty_server::stall, "silent streams");
+    return name;
+}
+
 std::string fault_plan::store_fault()
 {
     auto& store = site_.store();
@@ -348,10 +410,16 @@
     site_.wait_restarted();
 }
 
-void fault_plan::check_calm()
+void fault_plan::await_calm()
 {
     wait(seconds(9)); // longer than a stop takes
     end_all();
+}
+
+void fault_plan::check_calm()
+{
+    await_calm();
+    site_.announce_faulty_servers(false); // the checks below count on the others
     for (auto& gateway : site_.gateways()) {
         if (!site_.wait_ready(gateway)) {
             violations_.push_back(gateway.name + " is not ready on a calm site");
--- a/apps/soak/fault_plan.h
+++ b/apps/soak/fault_plan.h
@@ -22,6 +22,10 @@
     /// Undoes what is due and begins the next fault. Returns its name.
     std::string step();
 
+    /// Undoes what is due and begins planned work: a stop, a reload or a change of the
+    /// configuration. Returns its name.
+    std::string step_planned();
+
     /// Undoes everything and brings all processes back.
     void end_all();
 
@@ -32,6 +36,9 @@
     static constexpr std::uint64_t crash_block = 0xdead;
     static constexpr const char* crashing_prefix = "a1:300,dead:100,";
 
+    /// Waits until all stops have ended, and undoes everything.
+    void await_calm();
+
     /// Checks on an otherwise calm site: a change is in force everywhere, and a stop cuts nothing.
     void check_calm();
 
@@ -45,6 +52,9 @@
     };
 
     [[nodiscard]] int draw(int low, int high);
+    void undo_due();
+    std::string stop(site::site_gateway& gateway);
+    std::string wire_fault();
     site::site_gateway& any_gateway();
     site::site_server& any_server();
     void later(time_ms after, std::function<void()> undo);
--- a/apps/soak/main.cpp
+++ b/apps/soak/main.cpp
@@ -1,6 +1,7 @@
 #include "core/clock.h"
 #include "core/settings.h"
 #include "fault_plan.h"
+#include "standins/site/kept_caller.h"
 
 #include <array>
 #include <atomic>
@@ -13,8 +14,14 @@
 
 DEFINE_int64(seed, 1, "seed of the faults, 1 to 1000000000");
 DEFINE_int64(seconds, 20, "length of the disturbed part, 1 to 3600 s");
-DEFINE_int64(gateways, 3, "gateway processes, 1 to 60");
+DEFINE_int64(gateways, 3, "gateway processes, 1 to 100");
 DEFINE_int64(callers, 6, "threads that send requests, 1 to 64");
+DEFINE_int64(kept_callers, 6, "threads that send many requests on each connection, 0 to 64");
+DEFINE_int64(faulty_servers, 1, "servers of each service with faults on the wire, 0 to 8");
+DEFINE_bool(planned_only, false,
+            "only planned work: stops, reloads, changes; no request may be lost");
+DEFINE_int64(chat_attempts, 2, "attempts of streams that may be resumed, 1 to 8");
+DEFINE_int64(work_ms, 5, "interval between the events of a stream, 1 to 1000 ms");
 DEFINE_int64(prepaid, 150000, "tokens of each account at the start, 0 to 1000000000");
 DEFINE_string(logs, "",
               "folder for the gateways' logs; empty: a new one below the temporary folder");
@@ -30,6 +37,8 @@
     made.gateways = static_cast<int>(FLAGS_gateways);
     made.seed = static_cast<std::uint64_t>(FLAGS_seed);
     made.prepaid = FLAGS_prepaid;
+    made.chat_attempts = static_cast<int>(FLAGS_chat_attempts);
+    made.faulty_servers = static_cast<int>(FLAGS_faulty_servers);
     made.log_folder = FLAGS_logs.empty() ? (std::filesystem::temp_directory_path() /
                                             ("jujubevalve-soak-" + std::to_string(FLAGS_seed)))
                                                .string()
@@ -69,6 +78,33 @@
     }
 }
 
+/// Sends requests on kept connections to gateways that the directories name, until it is stopped.
+void keep_connections(site::site& deployment, site::site_caller& caller, std::uint64_t seed,
+                      const std::atomic<bool>& stop)
+{
+    std::minstd_rand random{static_cast<std::minstd_rand::result_type>(seed)};
+    const auto draw = [&](std::size_t n) {
+        return std::uniform_int_distribution<std::size_t>{0, n - 1}(random);
+    };
+    site::kept_caller_options options;
+    options.expects_all = FLAGS_planned_only;
+    options.http_1_0 = 200;
+    options.leaves = FLAGS_planned_only ? 0 : 80;
+    options.short_limits = FLAGS_planned_only ? 0 : 100;
+    options.requests = 12;
+    site::kept_caller kept{caller, options, seed};
+    std::vector<std::string> addresses;
+    while (!stop) {
+        const auto& asked = deployment.gateways()[draw(deployment.gateways().size())];
+        auto found = caller.resolve(asked.directory);
+        addresses = found.empty() ? addresses : found;
+        if (!addresses.empty()) {
+            kept.run_connection(addresses[draw(addresses.size())]);
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds{draw(20)});
+    }
+}
+
 int report(const site::site_caller& caller, const soak::fault_plan& faults)
 {
     for (const auto& [status, count] : caller.statuses()) {
@@ -98,8 +134,12 @@
     settings_check check;
     check.range("seed", FLAGS_seed, 1, 1'000'000'000);
     check.range("seconds", FLAGS_seconds, 1, 3600);
-    check.range("gateways", FLAGS_gateways, 1, 60);
+    check.range("gateways", FLAGS_gateways, 1, 100);
     check.range("callers", FLAGS_callers, 1, 64);
+    check.range("kept_callers", FLAGS_kept_callers, 0, 64);
+    check.range("faulty_servers", FLAGS_faulty_servers, 0, 8);
+    check.range("chat_attempts", FLAGS_chat_attempts, 1, 8);
+    check.range("work_ms", FLAGS_work_ms, 1, 1000);
     check.range("prepaid", FLAGS_prepaid, 0, 1'000'000'000);
     check.exit_on_error();
     try {
@@ -118,15 +158,28 @@
                            stop);
             });
         }
+        for (int i = 0; i < FLAGS_kept_callers; ++i) {
+            callers.emplace_back([&, i] {
+                keep_connections(deployment, caller,
+                                 static_cast<std::uint64_t>(FLAGS_seed * 100 + 50 + i), stop);
+            });
+        }
+        for (auto& server : deployment.servers()) {
+            server.server->work_ms = static_cast<int>(FLAGS_work_ms);
+        }
         const auto end = steady_clock_ms{}.now() + seconds(FLAGS_seconds);
         while (steady_clock_ms{}.now() < end) {
-            const auto name = faults.step();
+            const auto name = FLAGS_planned_only ? faults.step_planned() : faults.step();
             if (FLAGS_verbose) {
                 std::cout << "fault: " << name << std::endl;
             }
             std::this_thread::sleep_for(std::chrono::milliseconds{faults.pause().count()});
         }
-        faults.check_calm();
+        if (FLAGS_planned_only) {
+            faults.await_calm();
+        } else {
+            faults.check_calm();
+        }
         stop = true;
         for (auto& thread : callers) {
             thread.join();
--- a/modules/standins/site/raw_server.cpp
+++ b/modules/standins/site/raw_server.cpp
@@ -170,7 +170,8 @@
                     ++requests_;
                     handler_(connection,
                              {header(head, "x-request-id"), header(head, "x-expect-instance"),
-                              header(head, "x-tenant"), number++, header(head, "last-event-id")});
+                              header(head, "x-tenant"), number++, header(head, "last-event-id"),
+                              header(head, "x-token-usage")});
                     continue;
                 }
             }
--- a/modules/standins/site/raw_server.h
+++ b/modules/standins/site/raw_server.h
@@ -17,6 +17,7 @@
     std::string account;
     std::size_t number{0}; ///< on its connection, from 1
     std::string last_event;
+    std::string usage; ///< tokens of a generation request; empty for others
 };
 
 /// The connection of a raw_server on which a request arrived.
--- a/modules/standins/site/site.cpp
+++ b/modules/standins/site/site.cpp
@@ -60,6 +60,14 @@
     for (int i = 0; i < options.plain_servers; ++i) {
         add("plain-" + std::to_string(i), "orders");
     }
+    for (int i = 0; i < options.faulty_servers; ++i) {
+        for (const auto* const service : {engine_service, "orders"}) {
+            faulty_servers_.push_back(std::make_unique<faulty_server>(
+                std::string{"faulty-"} + service + "-" + std::to_string(i), tracker_,
+                options.seed + 100 + faulty_servers_.size()));
+        }
+    }
+    announce_faulty_servers(true);
     const auto reserve_address = [this] { return reserved_ports_.emplace_back().address(); };
     for (int i = 0; i < options.gateways; ++i) {
         site_gateway made{"gateway-" + std::to_string(i),
@@ -174,19 +182,34 @@
     return false;
 }
 
+namespace
+{
+json registration(const std::string& service, const std::string& address, bool leaving,
+                  std::int64_t incarnation)
+{
+    return {
+        {"service", service},  {"address", address},    {"zone", "a"},
+        {"version", "v1"},     {"max-concurrency", 64}, {"state", leaving ? "draining" : "ready"},
+        {"warmup-left-ms", 0}, {"sequence", 1},         {"born", incarnation}};
+}
+} // namespace
+
 void site::announce(site_server& server, bool leaving)
 {
     server.registered = true;
-    const json entry{{"service", server.service},
-                     {"address", server.path->address()},
-                     {"zone", "a"},
-                     {"version", "v1"},
-                     {"max-concurrency", 64},
-                     {"state", leaving ? "draining" : "ready"},
-                     {"warmup-left-ms", 0},
-                     {"sequence", 1},
-                     {"born", server.incarnation}};
-    store_.rows().put("servers", server.server->id(), entry.dump());
+    store_.rows().put(
+        "servers", server.server->id(),
+        registration(server.service, server.path->address(), leaving, server.incarnation).dump());
+}
+
+void site::announce_faulty_servers(bool present)
+{
+    for (std::size_t i = 0; i < faulty_servers_.size(); ++i) {
+        const auto& server = *faulty_servers_[i];
+        const auto* const service = i % 2 == 0 ? engine_service : "orders";
+        store_.rows().put("servers", server.id(),
+                          present ? registration(service, server.address(), false, 1).dump() : "");
+    }
 }
 
 void site::withdraw(site_server& server)
@@ -200,7 +223,7 @@
     prepaid_ = prepaid;
     ++version_;
     json routes = json::array(
-        {route("chat", "/chat/", "streaming", "models", 3, true),
+        {route("chat", "/chat/", "streaming", "models", options_.chat_attempts, true),
          route("note", "/note/", "streaming", "models", 1, false),
          route("order", "/order/", "non_idempotent", "orders", 1, false),
          route("stock", "/stock/", "idempotent", "orders", 3, false),
--- a/modules/standins/site/site.h
+++ b/modules/standins/site/site.h
@@ -3,6 +3,7 @@
 #include "core/time_ms.h"
 #include "standins/child_process.h"
 #include "standins/reserved_port.h"
+#include "standins/site/faulty_server.h"
 #include "standins/site/run_tracker.h"
 #include "standins/site/server_standin.h"
 #include "standins/site/store_standin.h"
@@ -23,6 +24,8 @@
     int gateways{3};
     int engines{3};
     int plain_servers{2};
+    int chat_attempts{3};  ///< of the route whose streams may be resumed
+    int faulty_servers{0}; ///< of each service, with faults on the wire
     token_count prepaid{10'000'000};
     std::uint64_t seed{1};
     std::string log_folder{"/tmp"};
@@ -78,6 +81,10 @@
     [[nodiscard]] run_tracker& book() { return tracker_; }
     [[nodiscard]] std::vector<site_gateway>& gateways() { return gateways_; }
     [[nodiscard]] std::vector<site_server>& servers() { return servers_; }
+    [[nodiscard]] std::vector<std::unique_ptr<faulty_server>>& faulty_servers()
+    {
+        return faulty_servers_;
+    }
     [[nodiscard]] const site_options& options() const { return options_; }
 
     /// Starts or restarts a gateway.
@@ -95,6 +102,9 @@
     /// Returns the history since the block was set.
     [[nodiscard]] crash_history crashes() const;
 
+    /// Registers the servers with faults on the wire, or removes their registrations.
+    void announce_faulty_servers(bool present);
+
     /// Registers a server as ready or leaving, or removes its registration.
     void announce(site_server& server, bool leaving = false);
     void withdraw(site_server& server);
@@ -110,6 +120,7 @@
     store_standin store_;
     run_tracker tracker_;
     std::vector<site_server> servers_;
+    std::vector<std::unique_ptr<faulty_server>> faulty_servers_;
     std::vector<reserved_port> reserved_ports_; ///< on which the gateways listen
     std::vector<site_gateway> gateways_;
     token_count prepaid_;
--- a/modules/standins/site/site_caller.cpp
+++ b/modules/standins/site/site_caller.cpp
@@ -7,8 +7,6 @@
 namespace jujubevalve::site
 {
 
-namespace
-{
 const char* path_of(site_call kind)
 {
     switch (kind) {
@@ -29,16 +27,6 @@
     return kind == site_call::chat || kind == site_call::note;
 }
 
-bool runs_once(site_call kind)
-{
-    return kind == site_call::note || kind == site_call::order;
-}
-
-bool promises_not_run(int status)
-{
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 std::string whole_answer(const std::string& id, site_call kind)
 {
     if (!is_stream(kind)) {
@@ -51,6 +39,18 @@
     return text;
 }
 
+namespace
+{
+bool runs_once(site_call kind)
+{
+    return kind == site_call::note || kind == site_call::order;
+}
+
+bool promises_not_run(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 std::string header_of(const http_reply& reply, const char* name)
 {
     const auto found = reply.headers.find(name);
@@ -103,12 +103,17 @@
     outcome.status = reply.error ? 0 : reply.status;
     outcome.complete = reply.ok();
     check_answer(reply, outcome.id, kind);
-    const std::lock_guard lock{mutex_};
-    reported_[outcome.id] = {kind, outcome.status};
-    complete_ += outcome.complete ? 1 : 0;
+    record(outcome.id, kind, outcome.status, outcome.complete);
     return outcome;
 }
 
+void site_caller::record(const std::string& id, site_call kind, int status, bool complete)
+{
+    const std::lock_guard lock{mutex_};
+    reported_[id] = {kind, status};
+    complete_ += complete ? 1 : 0;
+}
+
 void site_caller::check_answer(const http_reply& reply, const std::string& id, site_call kind)
 {
     if (reply.error) {
--- a/modules/standins/site/site_caller.h
+++ b/modules/standins/site/site_caller.h
@@ -14,6 +14,11 @@
 /// The kinds of calls that a site has.
 enum class site_call { chat, note, order, stock };
 
+const char* path_of(site_call kind);
+bool is_stream(site_call kind);
+/// Returns the body of a complete success.
+std::string whole_answer(const std::string& id, site_call kind);
+
 /// The outcome of one attempt.
 struct attempt_result {
     std::string id;
@@ -33,6 +38,12 @@
     attempt_result call(const std::string& gateway, site_call kind, int account,
                         const std::string& prefix = {});
 
+    /// For callers with connections of their own: returns the id of a new request, records what its
+    /// caller got, and records a violation.
+    std::string next_id();
+    void record(const std::string& id, site_call kind, int status, bool complete);
+    void violate(const std::string& what);
+
     /// Requests the addresses from a gateway's directory; empty on failure.
     std::vector<std::string> resolve(const std::string& directory);
 
@@ -54,9 +65,7 @@
         int status{0};
     };
 
-    std::string next_id();
     void check_answer(const http_reply& reply, const std::string& id, site_call kind);
-    void violate(const std::string& what);
 
     site& site_;
     http_client client_;
