--- a/modules/standins/site/kept_caller.cpp
+++ b/modules/standins/site/kept_caller.cpp
@@ -52,9 +52,9 @@
 {
 public:
     explicit socket_handle(const std::string& address)
+        : descriptor_{::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)}
     {
         const auto remote = to_inet_address(address);
-        descriptor_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         if (!remote || ::connect(descriptor_, static_cast<const sockaddr*>(remote->get_addr()),
                                  static_cast<socklen_t>(remote->get_size())) != 0) {
             ::close(std::exchange(descriptor_, -1));
@@ -72,7 +72,7 @@
     [[nodiscard]] int get() const { return descriptor_; }
 
 private:
-    int descriptor_{-1};
+    int descriptor_;
 };
 } // namespace
 
