The call line says what the caller was sent

caller_response keeps how far the response got, its bytes and whether it announced the close; the call line has them, with all servers in order, the status of the last server's answer and the unsent bytes. responses_broken_off counts responses that were cut visibly. No logic is changed; gateway_tests pass.

--- a/modules/gateway/call.cpp
+++ b/modules/gateway/call.cpp
@@ -38,6 +38,15 @@
 /// Max events that a server may have sent without their being relayed when a stream was aborted.
 /// The server notices the abort after about 10 ms and sends at most one event per 10 ms.
 constexpr std::int64_t max_undelivered_events = 4;
+
+std::string join(const std::vector<std::string>& names)
+{
+    std::string joined;
+    for (const auto& name : names) {
+        joined.append(joined.empty() ? "" : " ").append(name);
+    }
+    return joined;
+}
 } // namespace
 
 call::call(call_context& context, caller_connection& caller, http_head head, std::string body)
@@ -415,6 +424,9 @@
     settle();
     const auto now = context_.loop.now();
     context_.metrics.count("answers_" + std::to_string(status));
+    if (to_caller_.progress() == response_progress::broken_off) {
+        context_.metrics.count("responses_broken_off");
+    }
     context_.metrics.observe("request", now - received_at_);
     log_fields fields;
     fields.add("id", request_.id)
@@ -428,8 +440,13 @@
         .add("route", route_ != nullptr ? std::string_view{route_->name} : std::string_view{})
         .add("account", account_)
         .add("charged", charged_tokens_)
-        .add("servers",
-             tried_servers_.empty() ? std::string_view{} : std::string_view{tried_servers_.back()})
+        .add("servers", join(tried_servers_))
+        .add("server_status", response_.status)
+        .add("version", head_.http_1_1 ? "1.1" : "1.0")
+        .add("response", to_string(to_caller_.progress()))
+        .add("sent_bytes", to_caller_.sent_bytes())
+        .add("unsent_bytes", caller_.unsent())
+        .add("closes", static_cast<int>(to_caller_.closes_connection()))
         .add("store_reachable", static_cast<int>(context_.view.is_reachable()));
     context_.log.write("call", fields, now);
 }
--- a/modules/gateway/caller_response.cpp
+++ b/modules/gateway/caller_response.cpp
@@ -35,6 +35,21 @@
 }
 } // namespace
 
+std::string_view to_string(response_progress progress)
+{
+    switch (progress) {
+    case response_progress::none:
+        return "none";
+    case response_progress::in_stream:
+        return "in_stream";
+    case response_progress::complete:
+        return "complete";
+    case response_progress::broken_off:
+        break;
+    }
+    return "broken_off";
+}
+
 caller_response::caller_response(caller_connection& caller, const http_head& request)
     : caller_{caller}
     , request_{request}
@@ -43,7 +58,7 @@
 
 int caller_response::send_whole(const http_head& from_server, std::string_view body)
 {
-    if (state_ != state::empty) {
+    if (has_begun()) {
         return break_off();
     }
     const bool close = caller_.must_close() || !request_.http_1_1 || !request_.keep_alive;
@@ -52,7 +67,7 @@
     if (!is_head_request()) {
         out.append(body);
     }
-    caller_.send(out);
+    send(out);
     finish(close);
     return from_server.status;
 }
@@ -60,19 +75,25 @@
 int caller_response::send_error(int status, std::string_view code, std::string_view message,
                                 std::optional<time_ms> retry_after)
 {
-    if (state_ != state::empty) {
+    if (has_begun()) {
         return break_off();
     }
     const bool close = caller_.must_close() || !request_.keep_alive;
     const auto response = encode_error_response(status, code, message, retry_after, close);
-    caller_.send(is_head_request() ? head_of(response) : std::string_view{response});
+    send(is_head_request() ? head_of(response) : std::string_view{response});
     finish(close);
     return status;
 }
 
+void caller_response::send(std::string_view bytes)
+{
+    sent_bytes_ += bytes.size();
+    caller_.send(bytes);
+}
+
 void caller_response::begin_stream(const http_head& from_server)
 {
-    state_ = state::in_stream;
+    progress_ = response_progress::in_stream;
     stream_status_ = from_server.status;
     close_after_stream_ = caller_.must_close() || !request_.http_1_1 || !request_.keep_alive;
     unsent_ =
@@ -84,10 +105,10 @@
 
 void caller_response::add_event(const http_head& from_server, std::string_view event)
 {
-    if (state_ == state::ended) {
+    if (is_ended()) {
         return;
     }
-    if (state_ == state::empty) {
+    if (!has_begun()) {
         begin_stream(from_server);
     }
     if (is_head_request()) {
@@ -102,22 +123,22 @@
 
 bool caller_response::flush_events()
 {
-    caller_.send(std::exchange(unsent_, {}));
+    send(std::exchange(unsent_, {}));
     return caller_.unsent() <= max_unsent_bytes;
 }
 
 int caller_response::end_stream(const http_head& from_server)
 {
-    if (state_ == state::ended) {
+    if (is_ended()) {
         return 0;
     }
-    if (state_ == state::empty) {
+    if (!has_begun()) {
         begin_stream(from_server);
     }
     if (request_.http_1_1 && !is_head_request()) {
         unsent_.append("0\r\n\r\n");
     }
-    caller_.send(std::exchange(unsent_, {}));
+    send(std::exchange(unsent_, {}));
     if (!request_.http_1_1) {
         caller_.set_ends_with_close(false);
     }
@@ -127,7 +148,8 @@
 
 int caller_response::break_off()
 {
-    if (std::exchange(state_, state::ended) != state::ended) {
+    if (!is_ended()) {
+        progress_ = response_progress::broken_off;
         caller_.abort_response();
     }
     return 0;
@@ -135,7 +157,8 @@
 
 void caller_response::finish(bool close)
 {
-    state_ = state::ended;
+    progress_ = response_progress::complete;
+    closes_connection_ = close;
     caller_.finish(close);
 }
 
--- a/modules/gateway/caller_response.h
+++ b/modules/gateway/caller_response.h
@@ -9,6 +9,16 @@
 namespace jujubevalve
 {
 
+/// How far a response has got.
+enum class response_progress {
+    none,       ///< nothing was sent
+    in_stream,  ///< the head and some events of a stream were sent
+    complete,   ///< the whole response was sent
+    broken_off, ///< ended so that the caller can tell that it is incomplete
+};
+
+std::string_view to_string(response_progress progress);
+
 /// The response to one request of a caller, and the only way to send it. Knows what the caller has
 /// received so far: a response has one head, and one that is cut short never looks complete.
 class caller_response
@@ -18,7 +28,13 @@
     caller_response(caller_connection& caller, const http_head& request);
 
     /// Whether the head of a stream has been sent, so that only its events may follow.
-    [[nodiscard]] bool has_begun() const { return state_ != state::empty; }
+    [[nodiscard]] bool has_begun() const { return progress_ != response_progress::none; }
+
+    [[nodiscard]] response_progress progress() const { return progress_; }
+    /// Bytes of the response that were handed to the caller's connection.
+    [[nodiscard]] std::size_t sent_bytes() const { return sent_bytes_; }
+    /// Whether the complete response announced that the connection closes.
+    [[nodiscard]] bool closes_connection() const { return closes_connection_; }
 
     /// Sends a complete response of a server, or the router's own error. A stream that has begun is
     /// broken off instead. Returns the status that the caller has received; 0 if broken off.
@@ -40,15 +56,21 @@
     int break_off();
 
 private:
-    enum class state { empty, in_stream, ended };
-
+    void send(std::string_view bytes);
     void begin_stream(const http_head& from_server);
     void finish(bool close);
+    [[nodiscard]] bool is_ended() const
+    {
+        return progress_ == response_progress::complete ||
+               progress_ == response_progress::broken_off;
+    }
     [[nodiscard]] bool is_head_request() const { return request_.method == "HEAD"; }
 
     caller_connection& caller_;
     const http_head& request_;
-    state state_{state::empty};
+    response_progress progress_{response_progress::none};
+    std::size_t sent_bytes_{0};
+    bool closes_connection_{false};
     int stream_status_{0};
     bool close_after_stream_{false};
     std::string unsent_;
