An HTTP/1.0 stream is closed in order only once all of it has been sent

What callers saw: the begin of a stream and an orderly close, where the gateway ended (killed, or at the limit of its stop) while the rest was unsent.

Cause: caller_response declared the response complete, and took back the reset on close, when it had handed over the last bytes; they may still wait in this process for a slow caller. Class: what is complete is what was handed over, not what was sent. A response with a length or in chunks cannot look complete that way.

Change: the mark that the end of the connection ends the response is never taken back. close_lingering() already closes in order only when nothing is unsent. A caller that closes its sending side meanwhile gets a reset instead of an orderly end, too.

The module test marks_a_stream_that_ends_with_its_connection held the fault in place (it wanted the mark off as soon as the last bytes were handed over); it now wants it on, the close announced and nothing aborted.

--- a/modules/gateway/call_context.h
+++ b/modules/gateway/call_context.h
@@ -68,9 +68,9 @@
     [[nodiscard]] virtual std::size_t unsent() const = 0;
     /// Returns whether the connection must close after the response.
     [[nodiscard]] virtual bool must_close() const = 0;
-    /// While on, the end of the connection ends the response: closing it in any way that is not
-    /// finish(), also by the end of this process, then resets it.
-    virtual void set_ends_with_close(bool on) = 0;
+    /// The end of the connection ends the response. Whatever closes it before finish() was called
+    /// and all bytes were sent, also the end of this process, resets it.
+    virtual void set_ends_with_close() = 0;
     /// Completes the response. `close`: the response announced that the connection closes.
     virtual void finish(bool close) = 0;
     /// Closes the connection so that the caller can tell that the response is incomplete.
--- a/modules/gateway/caller_response.cpp
+++ b/modules/gateway/caller_response.cpp
@@ -99,7 +99,7 @@
     unsent_ =
         encode_response_head(from_server, {std::nullopt, close_after_stream_, request_.http_1_1});
     if (!request_.http_1_1) {
-        caller_.set_ends_with_close(true);
+        caller_.set_ends_with_close();
     }
 }
 
@@ -139,9 +139,6 @@
         unsent_.append("0\r\n\r\n");
     }
     send(std::exchange(unsent_, {}));
-    if (!request_.http_1_1) {
-        caller_.set_ends_with_close(false);
-    }
     finish(close_after_stream_);
     return stream_status_;
 }
--- a/modules/gateway/front_connection.cpp
+++ b/modules/gateway/front_connection.cpp
@@ -228,11 +228,12 @@
     return stream_ ? stream_->pending() : 0;
 }
 
-void front_connection::set_ends_with_close(bool on)
+// close_lingering() closes in order once all bytes are sent.
+void front_connection::set_ends_with_close()
 {
-    ends_with_close_ = on;
+    ends_with_close_ = true;
     if (stream_) {
-        stream_->set_reset_on_close(on);
+        stream_->set_reset_on_close(true);
     }
 }
 
--- a/modules/gateway/front_connection.h
+++ b/modules/gateway/front_connection.h
@@ -49,7 +49,7 @@
     [[nodiscard]] bool has_left() const override;
     [[nodiscard]] std::size_t unsent() const override;
     [[nodiscard]] bool must_close() const override;
-    void set_ends_with_close(bool on) override;
+    void set_ends_with_close() override;
     void finish(bool close) override;
     void abort_response() override;
 
--- a/modules/gateway/tests/caller_response_tests.cpp
+++ b/modules/gateway/tests/caller_response_tests.cpp
@@ -16,7 +16,7 @@
     bool has_left() const override { return false; }
     std::size_t unsent() const override { return backlog; }
     bool must_close() const override { return closes; }
-    void set_ends_with_close(bool on) override { ends_with_close = on; }
+    void set_ends_with_close() override { ends_with_close = true; }
     void finish(bool close) override
     {
         ++ends;
@@ -178,7 +178,10 @@
     response.add_event(server_head(200), "id: 1\n\n");
     CHECK(connection.ends_with_close);
     CHECK_EQUAL(200, response.end_stream(server_head(200)));
-    CHECK_FALSE(connection.ends_with_close);
+    // The connection may still have bytes to send, and knows when it has not.
+    CHECK(connection.ends_with_close);
+    CHECK(connection.closed);
+    CHECK_FALSE(connection.aborted);
     CHECK(connection.closed);
 }
 
