--- a/modules/http/http_client.cpp
+++ b/modules/http/http_client.cpp
@@ -11,6 +11,8 @@
 
 namespace
 {
+constexpr long first_final_status = 200;
+
 struct handle_deleter {
     void operator()(CURL* handle) const { curl_easy_cleanup(handle); }
 };
@@ -29,6 +31,7 @@
     curl_off_t last_received{0};
     std::int64_t last_progress_us{0};
     bool idle_timed_out{false};
+    bool is_head_complete{false};
 };
 
 std::size_t write_body(char* data, std::size_t size, std::size_t count, void* context)
@@ -48,6 +51,19 @@
 {
     auto& transfer = *static_cast<transfer_state*>(context);
     const std::string_view line{data, size * count};
+    if (transfer.is_head_complete) {
+        return line.size(); // trailer fields are ignored
+    }
+    if (line.starts_with("HTTP/")) {
+        transfer.reply.headers.clear(); // of an interim response
+        return line.size();
+    }
+    if (line == "\r\n" || line == "\n") {
+        long status = 0;
+        curl_easy_getinfo(transfer.handle, CURLINFO_RESPONSE_CODE, &status);
+        transfer.is_head_complete = status >= first_final_status;
+        return line.size();
+    }
     const auto colon = line.find(':');
     if (colon != std::string_view::npos) {
         std::string name{line.substr(0, colon)};
@@ -198,6 +214,11 @@
         reply.error = classify_failure(code, handle.get(), may_reuse_connection);
         return reply;
     }
+    if (!transfer.is_head_complete) {
+        // curl reports success if the connection closes inside the head.
+        reply.error = http_error::answer_lost;
+        return reply;
+    }
     long status = 0;
     curl_easy_getinfo(handle.get(), CURLINFO_RESPONSE_CODE, &status);
     reply.status = static_cast<int>(status);
--- /dev/null
+++ b/modules/http/tests/http_client_tests.cpp
@@ -0,0 +1,89 @@
+#include "byte_server.h"
+#include "http/http_client.h"
+
+#include <CppUTest/TestHarness.h>
+#include <string>
+#include <vector>
+
+using namespace jujubevalve;
+
+namespace
+{
+http_reply ask(const std::function<void(const byte_server::sender&)>& answer,
+               std::string* streamed = nullptr)
+{
+    byte_server server{answer};
+    http_client client;
+    http_call call{"POST", "http://" + server.address() + "/", {}, "x"};
+    call.timeout = seconds(5);
+    call.send_once = true;
+    if (streamed != nullptr) {
+        call.on_data = [streamed](std::string_view bytes) {
+            streamed->append(bytes);
+            return true;
+        };
+    }
+    return client.perform(call);
+}
+
+http_reply ask(const std::string& answer, std::string* streamed = nullptr)
+{
+    return ask([&](const byte_server::sender& send) { send(answer); }, streamed);
+}
+
+} // namespace
+
+TEST_GROUP(http_client){};
+
+// Guards against the begin of an answer taken for a whole one: curl reports success if the server
+// closes inside the head.
+TEST(http_client, an_answer_that_ends_early_is_lost_wherever_it_ends)
+{
+    const std::vector<std::string> answers{
+        "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX-T: 1\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\nX-I: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+    };
+    for (const auto& answer : answers) {
+        for (const bool streams : {false, true}) {
+            // Behind the last chunk the final line feed carries nothing, and curl does not wait for
+            // it.
+            const auto needed = answer.ends_with("\n") ? answer.size() - 1 : answer.size();
+            for (std::size_t length = 0; length < needed; ++length) {
+                std::string streamed;
+                const auto reply = ask(answer.substr(0, length), streams ? &streamed : nullptr);
+                const auto label = "first " + std::to_string(length) + " bytes of: " + answer;
+                CHECK_TEXT(reply.error == http_error::answer_lost, label.c_str());
+                CHECK_EQUAL(0, reply.status);
+            }
+            std::string streamed;
+            const auto whole = ask(answer, streams ? &streamed : nullptr);
+            CHECK(whole.ok());
+            CHECK_EQUAL(std::string{"hello"}, streams ? streamed : whole.body);
+        }
+    }
+}
+
+// A body that ends with its connection is complete only behind a complete head.
+TEST(http_client, an_answer_that_ends_with_its_connection_needs_its_whole_head)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n";
+    for (std::size_t length = 0; length < head.size(); ++length) {
+        CHECK(ask(head.substr(0, length)).error == http_error::answer_lost);
+    }
+    const auto reply = ask(head + "hello");
+    CHECK(reply.ok());
+    CHECK_EQUAL(std::string{"hello"}, reply.body);
+}
+
+// Guards against header fields of an interim response, or of a trailer, in the answer.
+TEST(http_client, only_the_final_head_counts)
+{
+    const auto reply = ask("HTTP/1.1 103 Early Hints\r\nX-A: interim\r\n\r\n"
+                           "HTTP/1.1 200 OK\r\nX-B: final\r\nTransfer-Encoding: chunked\r\n\r\n"
+                           "2\r\nok\r\n0\r\nX-B: trailer\r\nX-C: trailer\r\n\r\n");
+    CHECK(reply.ok());
+    CHECK_EQUAL(std::string{"final"}, reply.headers.at("x-b"));
+    CHECK_EQUAL(0U, reply.headers.count("x-a") + reply.headers.count("x-c"));
+}
