Bytes that are no answer do not prove that nothing was sent

What could happen at jujubevalve-router: a service that has read a call and answers with bytes that are no HTTP made the call count as not delivered, so that a call that may run once was refused with "not run", or sent elsewhere.

Cause: libcurl reports such bytes as CURLE_UNSUPPORTED_PROTOCOL, the code that an address with an unknown scheme gives before anything is sent; classify_failure() went by the code. Found while looking for the ends of an answer that are taken for something else.

Change: not_delivered needs, whatever the code, that no connection was made and no byte of the request sent. Test: five kinds of bytes; failed before with not_delivered, passes now.

--- a/modules/http/http_client.cpp
+++ b/modules/http/http_client.cpp
@@ -147,17 +147,16 @@
     if (may_reuse_connection) {
         return http_error::answer_lost;
     }
-    if (code == CURLE_COULDNT_CONNECT || code == CURLE_URL_MALFORMAT ||
-        code == CURLE_UNSUPPORTED_PROTOCOL) {
-        return http_error::not_delivered;
-    }
-    // Timed out before the connection was established: nothing was sent.
+    // Bytes that are no answer end with CURLE_UNSUPPORTED_PROTOCOL, too, so the code alone does not
+    // tell that nothing was sent.
     curl_off_t connect_us = 0;
     long request_bytes = 0;
     curl_easy_getinfo(handle, CURLINFO_CONNECT_TIME_T, &connect_us);
     curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &request_bytes);
-    const bool sent_nothing =
-        code == CURLE_OPERATION_TIMEDOUT && connect_us == 0 && request_bytes == 0;
+    const bool ended_before_sending =
+        code == CURLE_COULDNT_CONNECT || code == CURLE_URL_MALFORMAT ||
+        code == CURLE_UNSUPPORTED_PROTOCOL || code == CURLE_OPERATION_TIMEDOUT;
+    const bool sent_nothing = ended_before_sending && connect_us == 0 && request_bytes == 0;
     return sent_nothing ? http_error::not_delivered : http_error::answer_lost;
 }
 } // namespace
--- a/modules/http/tests/http_client_tests.cpp
+++ b/modules/http/tests/http_client_tests.cpp
@@ -77,6 +77,16 @@
     CHECK_EQUAL(std::string{"hello"}, reply.body);
 }
 
+// Guards against "not delivered" for a request that was sent: curl reports bytes that are no answer
+// as an unsupported protocol.
+TEST(http_client, bytes_that_are_no_answer_do_not_promise_that_nothing_was_sent)
+{
+    for (const std::string bytes : {"these bytes are no answer\r\n\r\n", "x", "\r\n\r\n",
+                                    "HTTP/9.9 200 OK\r\n\r\n", "GET / HTTP/1.1\r\n\r\n"}) {
+        CHECK_TEXT(ask(bytes).error == http_error::answer_lost, bytes.c_str());
+    }
+}
+
 // Guards against header fields of an interim response, or of a trailer, in the answer.
 TEST(http_client, only_the_final_head_counts)
 {
