The HTTP client keeps a limited part of an answer without end

Cause: http_client appended bodies, and header fields, without a bound. Class: input that only its sender ends.

Change: a call has a limit for the body, and all heads of a response have one. An answer beyond it is answer_too_long; the outcome of the call is unknown, as with a lost answer. Answers of plain calls share 64 MiB through buffer_memory, which moves from the gateway to core and may be used by several threads. Load reports, cancels and error responses take at most 64 KiB.

--- a/modules/backend/backend_client.cpp
+++ b/modules/backend/backend_client.cpp
@@ -18,6 +18,13 @@
 {
 using nlohmann::json;
 
+/// Memory for the answers of plain calls and for error responses, all servers together. A response
+/// may hold the guaranteed part however much the others use.
+constexpr std::size_t response_memory_bytes = 64 * 1024 * 1024;
+constexpr std::size_t guaranteed_response_bytes = 64 * 1024;
+/// Max size of a load report or of the response to a cancel.
+constexpr std::size_t max_control_bytes = 64 * 1024;
+
 std::string url_of(const std::string& address, std::string_view path)
 {
     return "http://" + address + std::string{path};
@@ -230,6 +237,7 @@
                        json{{"key", key}}.dump()};
         call.connect_timeout = options_.connect_timeout;
         call.timeout = options_.control_timeout;
+        call.max_body_bytes = max_control_bytes;
         http_client own_connection;
         const auto body = fetch(own_connection, call);
         if (!body) {
@@ -248,6 +256,7 @@
                        call.body};
         sent.connect_timeout = options_.connect_timeout;
         sent.timeout = options_.call_timeout;
+        sent.memory = &response_memory_;
         http_client own_connection;
         auto reply = own_connection.perform(sent);
         call_result result;
@@ -270,6 +279,7 @@
         http_call call{"GET", url_of(address, "/v1/load")};
         call.connect_timeout = options_.connect_timeout;
         call.timeout = options_.control_timeout;
+        call.max_body_bytes = max_control_bytes;
         const auto body = fetch(load_connections_, call);
         if (!body) {
             return body.error();
@@ -296,6 +306,7 @@
         call.connect_timeout = options_.connect_timeout;
         call.timeout = options_.stream_timeout;
         call.idle_timeout = options_.idle_timeout;
+        call.max_body_bytes = max_control_bytes; // of an error response; events are streamed
         return call;
     }
 
@@ -386,6 +397,7 @@
     backend_options options_;
     stream_counters counts_;
     steady_clock_ms clock_;
+    buffer_memory response_memory_{response_memory_bytes, guaranteed_response_bytes};
     http_client load_connections_;
 };
 
--- a/modules/gateway/limited_buffer.cpp
+++ b/modules/core/limited_buffer.cpp
@@ -1,4 +1,6 @@
-#include "gateway/limited_buffer.h"
+#include "core/limited_buffer.h"
+
+#include <utility>
 
 namespace jujubevalve
 {
@@ -11,10 +13,10 @@
 
 bool buffer_memory::grow(std::size_t size, std::size_t by)
 {
-    if (size + by > guaranteed_bytes_ && used_ + by > total_bytes_) {
+    if (used_.fetch_add(by) + by > total_bytes_ && size + by > guaranteed_bytes_) {
+        used_ -= by;
         return false;
     }
-    used_ += by;
     return true;
 }
 
@@ -39,4 +41,10 @@
     bytes_ = {};
 }
 
+std::string limited_buffer::take()
+{
+    memory_.release(bytes_.size());
+    return std::exchange(bytes_, {});
+}
+
 } // namespace jujubevalve
--- a/modules/gateway/limited_buffer.h
+++ b/modules/core/limited_buffer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <cstddef>
 #include <string>
 #include <string_view>
@@ -7,13 +8,16 @@
 namespace jujubevalve
 {
 
-/// Memory that several limited_buffers may use together. Not synchronised.
+/// Memory that several limited_buffers, also of several threads, may use together.
 class buffer_memory
 {
 public:
     /// Every buffer may hold `guaranteed_bytes`, however much the others use.
     buffer_memory(std::size_t total_bytes, std::size_t guaranteed_bytes);
 
+    buffer_memory(const buffer_memory&) = delete;
+    buffer_memory& operator=(const buffer_memory&) = delete;
+
     [[nodiscard]] std::size_t used() const { return used_; }
 
 private:
@@ -25,7 +29,7 @@
 
     std::size_t total_bytes_;
     std::size_t guaranteed_bytes_;
-    std::size_t used_{0};
+    std::atomic<std::size_t> used_{0};
 };
 
 /// Holds a response until it is complete. Responses without end then use up a limited amount of
@@ -46,6 +50,9 @@
     /// Discards the content and frees its memory.
     void clear();
 
+    /// Returns the content, which no longer counts towards the memory, and leaves the buffer empty.
+    [[nodiscard]] std::string take();
+
 private:
     buffer_memory& memory_;
     std::size_t max_bytes_;
--- a/modules/gateway/tests/limited_buffer_tests.cpp
+++ b/modules/core/tests/limited_buffer_tests.cpp
@@ -1,4 +1,4 @@
-#include "gateway/limited_buffer.h"
+#include "core/limited_buffer.h"
 
 #include <CppUTest/TestHarness.h>
 #include <memory>
@@ -56,3 +56,13 @@
     }
     CHECK_EQUAL(0U, memory.used());
 }
+
+// Guards against memory that stays counted after its response was handed on.
+TEST(limited_buffer, does_not_count_what_was_taken)
+{
+    limited_buffer buffer{memory, max_bytes};
+    CHECK(buffer.append("response"));
+    CHECK_EQUAL(std::string{"response"}, buffer.take());
+    CHECK_EQUAL(0U, memory.used());
+    CHECK(buffer.bytes().empty());
+}
--- a/modules/gateway/call.h
+++ b/modules/gateway/call.h
@@ -5,7 +5,7 @@
 #include "gateway/call_context.h"
 #include "gateway/caller_response.h"
 #include "gateway/event_splitter.h"
-#include "gateway/limited_buffer.h"
+#include "core/limited_buffer.h"
 #include "net/http_exchange.h"
 
 #include <memory>
--- a/modules/gateway/call_context.h
+++ b/modules/gateway/call_context.h
@@ -8,7 +8,7 @@
 #include "gateway/fleet_view.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_settings.h"
-#include "gateway/limited_buffer.h"
+#include "core/limited_buffer.h"
 #include "gateway/reservation_service.h"
 #include "gateway/server_connections.h"
 #include "gateway/server_crash_detector.h"
--- a/modules/http/http_client.cpp
+++ b/modules/http/http_client.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cctype>
 #include <curl/curl.h>
+#include <malloc.h>
 #include <mutex>
 #include <vector>
 
@@ -11,7 +12,12 @@
 
 namespace
 {
+/// Max bytes of the heads of a response, interim ones and trailer fields included.
+constexpr std::size_t max_head_bytes = 256 * 1024;
+
 constexpr long first_final_status = 200;
+/// Blocks of this size and above go back to the system when they are freed.
+constexpr int mmap_threshold_bytes = 256 * 1024;
 
 struct handle_deleter {
     void operator()(CURL* handle) const { curl_easy_cleanup(handle); }
@@ -27,11 +33,14 @@
 struct transfer_state {
     const http_call& call;
     http_reply& reply;
-    CURL* handle{nullptr};
+    CURL* handle;
+    limited_buffer body;
     curl_off_t last_received{0};
     std::int64_t last_progress_us{0};
     bool idle_timed_out{false};
+    std::size_t head_bytes{0};
     bool is_head_complete{false};
+    bool is_too_long{false};
 };
 
 std::size_t write_body(char* data, std::size_t size, std::size_t count, void* context)
@@ -43,7 +52,10 @@
     if (transfer.call.on_data && status >= 200 && status < 300) {
         return transfer.call.on_data(bytes) ? bytes.size() : 0;
     }
-    transfer.reply.body += bytes;
+    if (!transfer.body.append(bytes)) {
+        transfer.is_too_long = true;
+        return 0;
+    }
     return bytes.size();
 }
 
@@ -51,6 +63,11 @@
 {
     auto& transfer = *static_cast<transfer_state*>(context);
     const std::string_view line{data, size * count};
+    transfer.head_bytes += line.size();
+    if (transfer.head_bytes > max_head_bytes) {
+        transfer.is_too_long = true;
+        return 0;
+    }
     if (transfer.is_head_complete) {
         return line.size(); // trailer fields are ignored
     }
@@ -191,7 +208,12 @@
     : impl_{std::make_unique<impl>()}
 {
     static std::once_flag once;
-    std::call_once(once, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
+    std::call_once(once, [] {
+        curl_global_init(CURL_GLOBAL_DEFAULT);
+        // Without a fixed threshold the arena of every thread keeps the memory of the longest
+        // response that the thread has received.
+        mallopt(M_MMAP_THRESHOLD, mmap_threshold_bytes);
+    });
 }
 
 http_client::~http_client() = default;
@@ -204,13 +226,20 @@
     if (handle == nullptr) {
         handle.reset(curl_easy_init());
     }
-    transfer_state transfer{call, reply, handle.get()};
+    buffer_memory own_memory{call.max_body_bytes, call.max_body_bytes};
+    transfer_state transfer{
+        call,
+        reply,
+        handle.get(),
+        {call.memory != nullptr ? *call.memory : own_memory, call.max_body_bytes}};
     const auto headers = make_headers(call.headers);
     set_options(handle.get(), transfer, headers.get());
     const auto code = curl_easy_perform(handle.get());
     if (code != CURLE_OK) {
         // The connection is in an unknown state, so the handle is destroyed instead of reused.
-        reply.error = classify_failure(code, handle.get(), may_reuse_connection);
+        reply.error = transfer.is_too_long
+                          ? http_error::answer_too_long
+                          : classify_failure(code, handle.get(), may_reuse_connection);
         return reply;
     }
     if (!transfer.is_head_complete) {
@@ -221,6 +250,7 @@
     long status = 0;
     curl_easy_getinfo(handle.get(), CURLINFO_RESPONSE_CODE, &status);
     reply.status = static_cast<int>(status);
+    reply.body = transfer.body.take();
     impl_->release_handle(std::move(handle));
     return reply;
 }
--- a/modules/http/http_client.h
+++ b/modules/http/http_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/limited_buffer.h"
 #include "core/time_ms.h"
 #include "http/http_message.h"
 
@@ -11,7 +12,8 @@
 
 /// Why a request got no response. `not_delivered` guarantees that no byte of the request was sent;
 /// it is only reported for new connections. In every other case the server may have received it.
-enum class http_error { not_delivered, answer_lost };
+/// `answer_too_long`: the response exceeded a limit of the call.
+enum class http_error { not_delivered, answer_lost, answer_too_long };
 
 /// A response, or the error if there is none.
 struct http_reply {
@@ -36,6 +38,13 @@
     std::function<bool(std::string_view)> on_data;
     time_ms idle_timeout{0}; ///< max time without a received byte; 0 = unlimited
 
+    /// Max size of a response's body, also of a streamed one that is not successful. A server in
+    /// trouble may send bytes without end.
+    std::size_t max_body_bytes{8 * 1024 * 1024};
+
+    /// If set, memory for the body that several requests share; must outlive them.
+    buffer_memory* memory{nullptr};
+
     /// Sends the request at most once, on a new connection. Otherwise libcurl repeats a request by
     /// itself when a reused connection closes before the first byte of the response.
     bool send_once{false};
--- a/modules/http/tests/http_client_tests.cpp
+++ b/modules/http/tests/http_client_tests.cpp
@@ -9,6 +9,8 @@
 
 namespace
 {
+constexpr std::size_t max_body = 64 * 1024;
+
 http_reply ask(const std::function<void(const byte_server::sender&)>& answer,
                std::string* streamed = nullptr)
 {
@@ -17,6 +19,7 @@
     http_call call{"POST", "http://" + server.address() + "/", {}, "x"};
     call.timeout = seconds(5);
     call.send_once = true;
+    call.max_body_bytes = max_body;
     if (streamed != nullptr) {
         call.on_data = [streamed](std::string_view bytes) {
             streamed->append(bytes);
@@ -31,6 +34,16 @@
     return ask([&](const byte_server::sender& send) { send(answer); }, streamed);
 }
 
+// Sends a block again and again, until the client closes or far more than any limit is out.
+http_reply ask_without_end(const std::string& begin, const std::string& repeated)
+{
+    constexpr std::size_t enough = 64 * 1024 * 1024;
+    return ask([&](const byte_server::sender& send) {
+        send(begin);
+        for (std::size_t sent = 0; sent < enough && send(repeated); sent += repeated.size()) {
+        }
+    });
+}
 } // namespace
 
 TEST_GROUP(http_client){};
@@ -97,3 +110,32 @@
     CHECK_EQUAL(std::string{"final"}, reply.headers.at("x-b"));
     CHECK_EQUAL(0U, reply.headers.count("x-a") + reply.headers.count("x-c"));
 }
+
+// Guards against a process that keeps bytes without end until it has no memory left.
+TEST(http_client, an_answer_without_end_is_given_up)
+{
+    const std::string block(16 * 1024, 'x');
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string fields = "X-Field: " + std::string(1024, 'x') + "\r\n";
+    CHECK(ask_without_end(chunked, "4000\r\n" + block + "\r\n").error ==
+          http_error::answer_too_long);
+    CHECK(ask_without_end("HTTP/1.1 200 OK\r\n\r\n", block).error == http_error::answer_too_long);
+    CHECK(ask_without_end("HTTP/1.1 500 No\r\n\r\n", block).error == http_error::answer_too_long);
+    CHECK(ask_without_end("HTTP/1.1 200 OK\r\n", fields).error == http_error::answer_too_long);
+    CHECK(ask_without_end("", "HTTP/1.1 102 Processing\r\n\r\n").error ==
+          http_error::answer_too_long);
+    CHECK(ask_without_end(chunked + "0\r\n", fields).error == http_error::answer_too_long);
+    // These are given up by curl itself.
+    for (const std::string begin : {"HTTP/1.1 200 OK\r\nX-Field: ", "", "HTTP/1.1 200 "}) {
+        CHECK(ask_without_end(begin, block).error.has_value());
+    }
+    CHECK(ask_without_end(chunked, block).error.has_value());
+}
+
+// The limit itself is allowed, and one byte more is not.
+TEST(http_client, a_body_may_be_as_long_as_the_limit)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n\r\n";
+    CHECK(ask(head + std::string(max_body, 'x')).ok());
+    CHECK(ask(head + std::string(max_body + 1, 'x')).error == http_error::answer_too_long);
+}
