A body has its own time, however its head arrives

What callers saw: a request whose body took longer than 3 s to arrive got 408 if its first packet held the whole head, and had 15 s if the head came in two packets.

Cause: front_connection::parse() started the head's timer when feed() had returned, by which time on_head() had started the body's.

Change: the timer for the head is started before its first byte is read. Blank lines between requests leave the connection idle, as before.

Test: both ways with a body after 4 s; failed before for the first (408), passes now.

--- a/modules/gateway/front_connection.cpp
+++ b/modules/gateway/front_connection.cpp
@@ -90,15 +90,14 @@
     }
     parsing_ = true;
     while (!closed_ && !call_ && !input_.empty()) {
-        const bool was_in_message = reader_.in_message();
+        const bool begins = !reader_.in_message();
+        if (begins) {
+            await_head(); // before feed(), which may read the head and start the body's time
+        }
         const auto consumed = reader_.feed(input_);
         input_.erase(0, consumed);
-        if (!was_in_message && reader_.in_message()) {
-            context_.loop.cancel(timer_);
-            timer_ = context_.loop.schedule(limits().head_timeout, [this] {
-                timer_ = 0;
-                reject(408, result_code::request_timeout, "the request did not arrive in time");
-            });
+        if (begins && !reader_.in_message() && !request_complete_) {
+            await_request(); // only blank lines, which may follow a request
         }
         if (rejected_ || closed_) {
             break;
@@ -118,6 +117,15 @@
     parsing_ = false;
 }
 
+void front_connection::await_head()
+{
+    context_.loop.cancel(timer_);
+    timer_ = context_.loop.schedule(limits().head_timeout, [this] {
+        timer_ = 0;
+        reject(408, result_code::request_timeout, "the request did not arrive in time");
+    });
+}
+
 void front_connection::on_head(http_head head)
 {
     head_ = std::move(head);
--- a/modules/gateway/front_connection.h
+++ b/modules/gateway/front_connection.h
@@ -58,6 +58,7 @@
     void reject(int status, result_code code, std::string_view message);
     void delete_ended_call();
     void await_request();
+    void await_head();
     [[nodiscard]] bool awaits_request() const;
     /// Closes the connection, gently once the answer has been sent.
     void close_connection(bool gently);
--- a/tests/gateway/stop_tests.cpp
+++ b/tests/gateway/stop_tests.cpp
@@ -2,6 +2,7 @@
 #include "standins/site/site_caller.h"
 
 #include <CppUTest/TestHarness.h>
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <csignal>
@@ -21,11 +22,16 @@
     std::this_thread::sleep_for(std::chrono::milliseconds{time.count()});
 }
 
-std::string request(const std::string& id, bool http_1_1 = true)
+std::string request_head(const std::string& id, bool http_1_1 = true)
 {
     return "POST /order/x HTTP/1." + std::string{http_1_1 ? "1" : "0"} +
            "\r\nHost: " + std::string{deployment::host} + "\r\nX-Request-Id: " + id +
-           "\r\nX-Deadline-Ms: 8000\r\nX-Key: key-1\r\nContent-Length: 4\r\n\r\nbody";
+           "\r\nX-Deadline-Ms: 8000\r\nX-Key: key-1\r\nContent-Length: 4\r\n\r\n";
+}
+
+std::string request(const std::string& id, bool http_1_1 = true)
+{
+    return request_head(id, http_1_1) + "body";
 }
 } // namespace
 
@@ -132,3 +138,30 @@
     }
     CHECK_EQUAL(0, lost);
 }
+
+// Guards against a time for the head that also bounds a body whose head came in one packet.
+TEST(stop, a_body_has_its_own_time_however_its_head_arrives)
+{
+    constexpr time_ms beyond_the_time_of_the_head{4000};
+    std::array<std::string, 2> answers;
+    std::vector<std::thread> callers;
+    for (std::size_t i = 0; i < answers.size(); ++i) {
+        callers.emplace_back([&, i] {
+            raw_caller caller{gateway().listen};
+            const auto head = request_head("slow-body-" + std::to_string(i));
+            const auto first = i == 0 ? head.size() : head.size() / 2;
+            caller.send(head.substr(0, first));
+            wait(time_ms{50});
+            caller.send(head.substr(first));
+            wait(beyond_the_time_of_the_head);
+            caller.send("body");
+            answers.at(i) = caller.receive_until("xxxxxxxxxx", seconds(2));
+        });
+    }
+    for (auto& caller : callers) {
+        caller.join();
+    }
+    for (const auto& answer : answers) {
+        CHECK_TEXT(answer.starts_with("HTTP/1.1 200 "), answer.c_str());
+    }
+}
