The platform's answers have a limit of their own

The limit of the HTTP client, 8 MiB, is for backend servers; a read of the platform may return the rows of a whole table. 64 MiB for these. storage has no test of that size; backend and http tests pass.

--- a/modules/storage/http_platform.cpp
+++ b/modules/storage/http_platform.cpp
@@ -10,6 +10,9 @@
 
 namespace
 {
+/// Max size of a response; the rows of a whole table fit.
+constexpr std::size_t max_response_bytes = 64 * 1024 * 1024;
+
 bool is_unreserved(char c)
 {
     return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' ||
@@ -74,6 +77,7 @@
         call.connect_timeout = options_.connect_timeout;
         call.timeout = options_.timeout;
         call.send_once = send_once;
+        call.max_body_bytes = max_response_bytes;
         return client_.perform(call);
     }
 
