An error for a HEAD request has no body, also where the request was not read whole

What callers could see: behind 400, 408, 413 or 503 for a HEAD request the body of the error, which a caller takes for its next answer. Cause: reject() wrote without a look at the method; caller_response, which does, is only for calls.

Beside it: blank lines between requests no longer restart the idle time, and a complete response whose rest its caller did not take is logged as response_cut.

--- a/modules/gateway/front_connection.cpp
+++ b/modules/gateway/front_connection.cpp
@@ -102,15 +102,16 @@
     }
     parsing_ = true;
     while (!closed_ && !call_ && !input_.empty()) {
-        const bool begins = !reader_.in_message();
-        if (begins) {
+        if (!reader_.in_message()) {
+            input_.erase(0, input_.find_first_not_of("\r\n")); // may follow a request
+            if (input_.empty()) {
+                break;
+            }
+            is_head_request_ = false;
             await_head(); // before feed(), which may read the head and start the body's time
         }
         const auto consumed = reader_.feed(input_);
         input_.erase(0, consumed);
-        if (begins && !reader_.in_message() && !request_complete_) {
-            await_request(); // only blank lines, which may follow a request
-        }
         if (rejected_ || closed_) {
             break;
         }
@@ -141,6 +142,7 @@
 void front_connection::on_head(http_head head)
 {
     head_ = std::move(head);
+    is_head_request_ = head_.method == "HEAD";
     body_.clear();
     context_.loop.cancel(timer_);
     timer_ = context_.loop.schedule(body_timeout, [this] {
@@ -178,7 +180,7 @@
     }
     const bool close = must_close() || !head_.keep_alive;
     if (const auto response = local_handler_(head_, close)) {
-        stream_->write(head_.method == "HEAD" ? head_of(*response) : std::string_view{*response});
+        stream_->write(is_head_request_ ? head_of(*response) : std::string_view{*response});
         finish(close);
         return;
     }
@@ -205,7 +207,9 @@
         "rejected",
         log_fields{}.add("status", status).add("code", static_cast<int>(code)).add("why", message),
         context_.loop.now());
-    stream_->write(encode_error_response(status, describe(code).name, message, std::nullopt, true));
+    const auto response =
+        encode_error_response(status, describe(code).name, message, std::nullopt, true);
+    stream_->write(is_head_request_ ? head_of(response) : std::string_view{response});
     close_connection(true);
 }
 
@@ -315,6 +319,11 @@
 
 void front_connection::release(bool gently)
 {
+    if (draining_ && unsent() > 0) {
+        context_.metrics.count("responses_cut");
+        context_.log.write("response_cut", log_fields{}.add("unsent_bytes", unsent()),
+                           context_.loop.now());
+    }
     draining_ = false;
     context_.loop.cancel(std::exchange(timer_, 0));
     if (gently) {
--- a/modules/gateway/front_connection.h
+++ b/modules/gateway/front_connection.h
@@ -78,6 +78,7 @@
     std::string input_;
     http_head head_;
     std::string body_;
+    bool is_head_request_{false}; ///< the request being read or answered is a HEAD request
     bool request_complete_{false};
     bool rejected_{false};
     bool parsing_{false};
