Stop: streams count with all their time, and cut requests are charged in full

The objective of a stream is for its first event, so that four of them say nothing of its end: a late stream is sent only if its time limit comes before the end. Requests that were sent once are not refused by the stop when they are tried again. A request that the end cuts is charged at its most, as its server may have made all of it. The process stays until its last answers had time to be read.

Beside it: unsent_bytes is taken before a response is broken off; an error for an HTTP/1.0 caller announces the close like any other response; a PUT to the platform whose answer is too long has an unknown outcome. gateway_tests, call_ends, broken_streams and stop pass.

--- a/modules/gateway/call.cpp
+++ b/modules/gateway/call.cpp
@@ -185,7 +185,8 @@
 void call::dispatch()
 {
     const auto& stopping = context_.stopping;
-    if (state_ == run_state::not_run && stopping &&
+    const bool is_first_attempt = attempts_ == 0 && connect_failures_ == 0;
+    if (is_first_attempt && stopping &&
         !stopping->may_send(context_.loop.now(), expected_duration())) {
         refuse(result_code::draining, 503, "this instance ends before the request might",
                other_instance_retry_delay());
@@ -371,7 +372,10 @@
 
 time_ms call::expected_duration() const
 {
-    return std::min(time_left(), route_->objective * duration_in_objectives);
+    // The objective of a stream is for its first event.
+    return route_->kind == call_kind::stream
+               ? time_left()
+               : std::min(time_left(), route_->objective * duration_in_objectives);
 }
 
 bool call::is_unsent() const
@@ -396,6 +400,11 @@
                other_instance_retry_delay());
     } else {
         state_ = run_state::ran;
+        if (reservation_ != 0) {
+            // The server may have made more than has arrived here.
+            charged_tokens_ = request_.generation->most();
+            context_.budgets.settle(std::exchange(reservation_, 0), charged_tokens_);
+        }
         fail_call("this instance ended before the response");
     }
 }
@@ -484,7 +493,7 @@
         .add("version", head_.http_1_1 ? "1.1" : "1.0")
         .add("response", to_string(to_caller_.progress()))
         .add("sent_bytes", to_caller_.sent_bytes())
-        .add("unsent_bytes", caller_.unsent())
+        .add("unsent_bytes", to_caller_.unsent_bytes())
         .add("closes", static_cast<int>(to_caller_.closes_connection()))
         .add("store_reachable", static_cast<int>(context_.view.is_reachable()));
     context_.log.write("call", fields, now);
--- a/modules/gateway/caller_response.cpp
+++ b/modules/gateway/caller_response.cpp
@@ -78,7 +78,7 @@
     if (has_begun()) {
         return break_off();
     }
-    const bool close = caller_.must_close() || !request_.keep_alive;
+    const bool close = caller_.must_close() || !request_.http_1_1 || !request_.keep_alive;
     const auto response = encode_error_response(status, code, message, retry_after, close);
     send(is_head_request() ? head_of(response) : std::string_view{response});
     finish(close);
@@ -147,6 +147,7 @@
 {
     if (!is_ended()) {
         progress_ = response_progress::broken_off;
+        unsent_at_break_ = caller_.unsent();
         caller_.abort_response();
     }
     return 0;
--- a/modules/gateway/caller_response.h
+++ b/modules/gateway/caller_response.h
@@ -33,6 +33,11 @@
     [[nodiscard]] response_progress progress() const { return progress_; }
     /// Bytes of the response that were handed to the caller's connection.
     [[nodiscard]] std::size_t sent_bytes() const { return sent_bytes_; }
+    /// Bytes of those that the connection had not sent when it was broken off, or has not now.
+    [[nodiscard]] std::size_t unsent_bytes() const
+    {
+        return progress_ == response_progress::broken_off ? unsent_at_break_ : caller_.unsent();
+    }
     /// Whether the complete response announced that the connection closes.
     [[nodiscard]] bool closes_connection() const { return closes_connection_; }
 
@@ -70,6 +75,7 @@
     const http_head& request_;
     response_progress progress_{response_progress::none};
     std::size_t sent_bytes_{0};
+    std::size_t unsent_at_break_{0};
     bool closes_connection_{false};
     int stream_status_{0};
     bool close_after_stream_{false};
--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -380,8 +380,14 @@
         log_.write("end",
                    log_fields{}.add("why", reason).add("connections", caller_server_.connections()),
                    loop_.now());
+        const bool has_answers_to_send = caller_server_.has_requests();
         caller_server_.process_ends();
-        view_.withdraw([this] { loop_.stop(); });
+        view_.withdraw([this, has_answers_to_send] {
+            // Their callers may be sending still, and a connection that closes meanwhile is reset.
+            constexpr time_ms answer_delivery_time{150};
+            loop_.schedule(has_answers_to_send ? answer_delivery_time : time_ms{0},
+                           [this] { loop_.stop(); });
+        });
         constexpr time_ms withdraw_timeout{300};
         loop_.schedule(withdraw_timeout, [this] { loop_.stop(); });
     }
--- a/modules/storage/http_platform.cpp
+++ b/modules/storage/http_platform.cpp
@@ -149,7 +149,8 @@
         return success();
     }
     const auto operation = fmt::format("put of object \"{}\"", name);
-    if (reply.error == http_error::answer_lost || (reply.status >= 500 && reply.status != 503)) {
+    const bool may_be_done = reply.error && *reply.error != http_error::not_delivered;
+    if (may_be_done || (reply.status >= 500 && reply.status != 503)) {
         return failure{result_code::platform_outcome_unknown,
                        fmt::format("{}: the answer was lost", operation)};
     }
