A router's response counts as open until it has been sent

What callers could see at a planned stop of jujubevalve-router: a large answer cut in its middle, visibly, though its call was done. Cause: http_server reported a response that is sent from memory as closed when it had queued it, so that the drain ended and the server closed its connections.

Change: libmicrohttpd frees the body when it has been sent or abandoned, and that closes the response; a copy is saved, too.

--- a/modules/http/http_server.cpp
+++ b/modules/http/http_server.cpp
@@ -31,6 +31,12 @@
     std::size_t offset{0};
 };
 
+// State of one response that is sent from memory. libmicrohttpd owns it and calls free_body().
+struct response_body {
+    std::string bytes;
+    std::function<void()> on_closed;
+};
+
 sockaddr_in parse_address(const std::string& text)
 {
     const auto colon = text.rfind(':');
@@ -94,11 +100,23 @@
     }
 }
 
+void free_body(void* context)
+{
+    const std::unique_ptr<response_body> body{static_cast<response_body*>(context)};
+    if (body->on_closed) {
+        body->on_closed();
+    }
+}
+
 MHD_Response* make_response(http_response& response)
 {
     if (!response.stream) {
-        return MHD_create_response_from_buffer(response.body.size(), response.body.data(),
-                                               MHD_RESPMEM_MUST_COPY);
+        auto body = std::make_unique<response_body>();
+        body->bytes = std::move(response.body);
+        body->on_closed = std::move(response.on_closed);
+        auto* const state = body.release();
+        return MHD_create_response_from_buffer_with_free_callback_cls(
+            state->bytes.size(), state->bytes.data(), &free_body, state);
     }
     auto stream = std::make_unique<response_stream>();
     stream->next = std::move(response.stream);
@@ -109,7 +127,6 @@
 
 MHD_Result send(MHD_Connection* connection, http_response response)
 {
-    const bool streamed = static_cast<bool>(response.stream);
     MHD_Response* const message = make_response(response);
     for (const auto& [name, value] : response.headers) {
         MHD_add_response_header(message, name.c_str(), value.c_str());
@@ -117,9 +134,6 @@
     const auto queued =
         MHD_queue_response(connection, static_cast<unsigned>(response.status), message);
     MHD_destroy_response(message);
-    if (!streamed && response.on_closed) {
-        response.on_closed();
-    }
     return queued;
 }
 } // namespace
--- a/modules/http/tests/http_tests.cpp
+++ b/modules/http/tests/http_tests.cpp
@@ -1,6 +1,9 @@
 #include "http/http.h"
 
 #include <CppUTest/TestHarness.h>
+#include <atomic>
+#include <chrono>
+#include <thread>
 
 using namespace jujubevalve;
 
@@ -97,3 +100,35 @@
     const auto reply = client.perform({"GET", "http://" + address + "/"});
     CHECK(reply.error == http_error::not_delivered);
 }
+
+// Guards against a stop that closes connections while their responses wait for slow callers: a
+// response counts as open until it has been sent.
+TEST(http, a_response_is_closed_when_it_was_sent)
+{
+    constexpr std::size_t body_bytes = 32 * 1024 * 1024; // beyond the buffers of the kernel
+    std::atomic<bool> is_closed{false};
+    http_server server{{"127.0.0.1:0", 16}, [&](const http_request&) {
+                           http_response response{200, {}, std::string(body_bytes, 'x'), {}, {}};
+                           response.on_closed = [&] { is_closed = true; };
+                           return response;
+                       }};
+    std::atomic<bool> may_read{false};
+    std::size_t received = 0;
+    http_call call{"GET", "http://" + server.address() + "/"};
+    call.timeout = seconds(10);
+    call.on_data = [&](std::string_view bytes) {
+        while (!may_read) {
+            std::this_thread::sleep_for(std::chrono::milliseconds{1});
+        }
+        received += bytes.size();
+        return true;
+    };
+    std::thread caller{[&] { CHECK(http_client{}.perform(call).ok()); }};
+    std::this_thread::sleep_for(std::chrono::milliseconds{300});
+    CHECK_FALSE(is_closed);
+    may_read = true;
+    caller.join();
+    CHECK_EQUAL(body_bytes, received);
+    server.stop();
+    CHECK(is_closed);
+}
