A drain waits until plain answers have been sent

What callers saw: an answer of 7 MiB that its caller read slowly was cut at 2.8 MB when the router was stopped; the call is one that may not be repeated.

Cause: http_server called on_closed of an answer that is not streamed when it was queued, although it promises the call for when the response has been sent or abandoned. A drain goes by that.

Change: on_closed belongs to the request and is called when libmicrohttpd reports its completion, whatever the kind of the response.

Tests: early_end, answer_that_is_read_slowly_is_whole failed before and passes now. The other tests of the group passed before and pass now: requests that come during a drain, requests that outlast the drain limit, and seven kinds of answers that end early or are none, at HTTP/1.1 and HTTP/1.0 callers.

--- a/modules/http/http_server.cpp
+++ b/modules/http/http_server.cpp
@@ -21,12 +21,12 @@
 struct request_state {
     http_request request;
     bool response_queued{false};
+    std::function<void()> on_closed; // of the response
 };
 
 // State of one streamed response. libmicrohttpd owns it and calls free_stream().
 struct response_stream {
     stream_source next;
-    std::function<void()> on_closed;
     std::string pending;
     std::size_t offset{0};
 };
@@ -89,9 +89,6 @@
 void free_stream(void* context)
 {
     const std::unique_ptr<response_stream> stream{static_cast<response_stream*>(context)};
-    if (stream->on_closed) {
-        stream->on_closed();
-    }
 }
 
 MHD_Response* make_response(http_response& response)
@@ -102,14 +99,12 @@
     }
     auto stream = std::make_unique<response_stream>();
     stream->next = std::move(response.stream);
-    stream->on_closed = std::move(response.on_closed);
     return MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, stream_block_bytes, &read_stream,
                                              stream.release(), &free_stream);
 }
 
 MHD_Result send(MHD_Connection* connection, http_response response)
 {
-    const bool streamed = static_cast<bool>(response.stream);
     MHD_Response* const message = make_response(response);
     for (const auto& [name, value] : response.headers) {
         MHD_add_response_header(message, name.c_str(), value.c_str());
@@ -117,9 +112,6 @@
     const auto queued =
         MHD_queue_response(connection, static_cast<unsigned>(response.status), message);
     MHD_destroy_response(message);
-    if (!streamed && response.on_closed) {
-        response.on_closed();
-    }
     return queued;
 }
 } // namespace
@@ -188,6 +180,9 @@
     {
         const std::unique_ptr<request_state> finished{static_cast<request_state*>(*state)};
         *state = nullptr;
+        if (finished && finished->on_closed) {
+            finished->on_closed();
+        }
     }
 
     MHD_Result receive(MHD_Connection* connection, const char* url, const char* method,
@@ -214,7 +209,9 @@
                                   &pending.request.headers);
         MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &add_query,
                                   &pending.request.query);
-        return send(connection, handle_(pending.request));
+        auto response = handle_(pending.request);
+        pending.on_closed = std::move(response.on_closed);
+        return send(connection, std::move(response));
     }
 
     void append_body(http_request& request, std::string_view data) const
