A drain answers requests whose body is still arriving

What callers saw: a request whose head came before the stop and whose body ended 1.5 s after SIGTERM got a closed connection without a byte, so that a call that may not be repeated could not be sent elsewhere, although it had not run.

Cause: a request counted from the end of its body on; a drain that had nothing else to wait for ended the process while the body arrived.

Change: http_server counts requests from their head to their response, and a drain waits for those without a response, for caller_idle_timeout at most. They are refused as draining, not run.

--- a/modules/http/http_server.cpp
+++ b/modules/http/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <atomic>
 #include <cctype>
 #include <cstring>
 #include <microhttpd.h>
@@ -132,7 +133,7 @@
             flags, 0, nullptr, nullptr, &impl::on_request, this, MHD_OPTION_SOCK_ADDR,
             &listen_address_, MHD_OPTION_CONNECTION_LIMIT, options.max_connections,
             MHD_OPTION_CONNECTION_TIMEOUT, timeout, MHD_OPTION_NOTIFY_COMPLETED,
-            &impl::on_completed, nullptr, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+            &impl::on_completed, this, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
         if (daemon_ == nullptr) {
             throw std::runtime_error("cannot listen on " + options.address);
         }
@@ -146,6 +147,7 @@
     impl& operator=(const impl&) = delete;
 
     [[nodiscard]] const std::string& address() const { return bound_address_; }
+    [[nodiscard]] std::int64_t unanswered() const { return unanswered_; }
 
     void stop_listening()
     {
@@ -175,11 +177,14 @@
                                                  state);
     }
 
-    static void on_completed(void* /*unused*/, MHD_Connection* /*connection*/, void** state,
+    static void on_completed(void* self, MHD_Connection* /*connection*/, void** state,
                              MHD_RequestTerminationCode /*code*/)
     {
         const std::unique_ptr<request_state> finished{static_cast<request_state*>(*state)};
         *state = nullptr;
+        if (finished && !finished->response_queued) {
+            --static_cast<impl*>(self)->unanswered_;
+        }
         if (finished && finished->on_closed) {
             finished->on_closed();
         }
@@ -193,6 +198,7 @@
             new_request->request.method = method;
             new_request->request.path = url;
             *state = new_request.release();
+            ++unanswered_;
             return MHD_YES;
         }
         auto& pending = *static_cast<request_state*>(*state);
@@ -211,7 +217,9 @@
                                   &pending.request.query);
         auto response = handle_(pending.request);
         pending.on_closed = std::move(response.on_closed);
-        return send(connection, std::move(response));
+        const auto queued = send(connection, std::move(response));
+        --unanswered_;
+        return queued;
     }
 
     void append_body(http_request& request, std::string_view data) const
@@ -226,6 +234,7 @@
 
     std::size_t max_body_;
     handler handle_;
+    std::atomic<std::int64_t> unanswered_{0};
     sockaddr_in listen_address_;
     std::string bound_address_;
     MHD_Daemon* daemon_{nullptr};
@@ -244,6 +253,11 @@
     return impl_->address();
 }
 
+std::int64_t http_server::unanswered() const
+{
+    return impl_->unanswered();
+}
+
 void http_server::stop_listening()
 {
     impl_->stop_listening();
--- a/modules/http/http_server.h
+++ b/modules/http/http_server.h
@@ -3,6 +3,7 @@
 #include "core/time_ms.h"
 #include "http/http_message.h"
 
+#include <cstdint>
 #include <memory>
 
 namespace jujubevalve
@@ -32,6 +33,9 @@
     /// Returns the listening address as ip:port, with the actual port.
     [[nodiscard]] std::string address() const;
 
+    /// Returns the number of requests whose head has arrived and that have no response yet.
+    [[nodiscard]] std::int64_t unanswered() const;
+
     /// Stops accepting connections; open ones continue.
     void stop_listening();
 
--- a/modules/router/router.cpp
+++ b/modules/router/router.cpp
@@ -138,7 +138,10 @@
         gossip_task_->wake();
         executions_.with_registry([](auto& all) { all.drain(); });
         wait_for(settings_.stopping_grace);
-        while (executions_.active() > 0 || api_.open_responses() > 0) {
+        // A body that trickles in must not hold up the drain for ever.
+        const auto arrival_deadline = clock_.now() + settings_.caller_idle_timeout;
+        while (executions_.active() > 0 || api_.open_responses() > 0 ||
+               (http_server_.unanswered() > 0 && clock_.now() < arrival_deadline)) {
             wait_for(time_ms{20});
         }
         http_server_.stop_listening();
--- a/tests/process/early_end_tests.cpp
+++ b/tests/process/early_end_tests.cpp
@@ -309,6 +309,45 @@
     LONGS_EQUAL(0, all->router("entry-a").wait_ended(generous).value_or(-1));
 }
 
+// G4, G7: guards against a request whose body ends late in a drain and is run, or cut unanswered.
+TEST(early_end, body_that_ends_during_a_drain_is_refused_as_not_run)
+{
+    start();
+    const std::array late{time_ms{150}, time_ms{1500}};
+    std::mutex mutex;
+    std::string wrong;
+    std::vector<std::thread> threads;
+    int number = 0;
+    for (const auto* version : http_versions) {
+        for (const auto& ends_after : late) {
+            for (const auto& [path, body] : targets("late-body")) {
+                const auto request =
+                    head(path, version, key("body-" + std::to_string(++number)), body) + body;
+                threads.emplace_back([&, request, ends_after] {
+                    const raw_caller caller{all->address("entry-a")};
+                    const std::string_view bytes = request;
+                    caller.send(bytes.substr(0, bytes.size() - 5));
+                    wait(time_ms{300} + ends_after);
+                    caller.send(bytes.substr(bytes.size() - 5));
+                    const auto answer = caller.receive_all(seconds(10)).bytes;
+                    if (!is_refused_as_not_run(answer)) {
+                        const std::lock_guard lock{mutex};
+                        wrong += fmt::format("after {} ms: \"{}\"\n", ends_after.count(), answer);
+                    }
+                });
+            }
+        }
+    }
+    wait(time_ms{300});
+    all->router("entry-a").send(SIGTERM);
+    for (auto& thread : threads) {
+        thread.join();
+    }
+    STRCMP_EQUAL("", wrong.c_str());
+    LONGS_EQUAL(0, all->ran("late-body"));
+    LONGS_EQUAL(0, all->router("entry-a").wait_ended(generous).value_or(-1));
+}
+
 // G7: guards against a drain limit that cuts calls and streams in progress without an answer.
 TEST(early_end, requests_that_outlast_the_drain_limit_are_answered)
 {
