--- a/modules/http/http_server.cpp
+++ b/modules/http/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <atomic>
 #include <cctype>
 #include <cstring>
 #include <microhttpd.h>
@@ -21,12 +22,12 @@
 struct request_state {
     http_request request;
     bool response_queued{false};
+    std::function<void()> on_closed; // of the response
 };
 
 // State of one streamed response. libmicrohttpd owns it and calls free_stream().
 struct response_stream {
     stream_source next;
-    std::function<void()> on_closed;
     std::string pending;
     std::size_t offset{0};
 };
@@ -95,9 +96,6 @@
 void free_stream(void* context)
 {
     const std::unique_ptr<response_stream> stream{static_cast<response_stream*>(context)};
-    if (stream->on_closed) {
-        stream->on_closed();
-    }
 }
 
 void free_body(void* context)
@@ -120,7 +118,6 @@
     }
     auto stream = std::make_unique<response_stream>();
     stream->next = std::move(response.stream);
-    stream->on_closed = std::move(response.on_closed);
     return MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, stream_block_bytes, &read_stream,
                                              stream.release(), &free_stream);
 }
@@ -154,7 +151,7 @@
             flags, 0, nullptr, nullptr, &impl::on_request, this, MHD_OPTION_SOCK_ADDR,
             &listen_address_, MHD_OPTION_CONNECTION_LIMIT, options.max_connections,
             MHD_OPTION_CONNECTION_TIMEOUT, timeout, MHD_OPTION_NOTIFY_COMPLETED,
-            &impl::on_completed, nullptr, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+            &impl::on_completed, this, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
         if (daemon_ == nullptr) {
             throw std::runtime_error("cannot listen on " + options.address);
         }
@@ -168,6 +165,7 @@
     impl& operator=(const impl&) = delete;
 
     [[nodiscard]] const std::string& address() const { return bound_address_; }
+    [[nodiscard]] std::int64_t unanswered() const { return unanswered_; }
 
     void stop_listening()
     {
@@ -197,11 +195,17 @@
                                                  state);
     }
 
-    static void on_completed(void* /*unused*/, MHD_Connection* /*connection*/, void** state,
+    static void on_completed(void* self, MHD_Connection* /*connection*/, void** state,
                              MHD_RequestTerminationCode /*code*/)
     {
         const std::unique_ptr<request_state> finished{static_cast<request_state*>(*state)};
         *state = nullptr;
+        if (finished && !finished->response_queued) {
+            --static_cast<impl*>(self)->unanswered_;
+        }
+        if (finished && finished->on_closed) {
+            finished->on_closed();
+        }
     }
 
     MHD_Result receive(MHD_Connection* connection, const char* url, const char* method,
@@ -212,6 +216,7 @@
             new_request->request.method = method;
             new_request->request.path = url;
             *state = new_request.release();
+            ++unanswered_;
             return MHD_YES;
         }
         auto& pending = *static_cast<request_state*>(*state);
@@ -228,7 +233,11 @@
                                   &pending.request.headers);
         MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &add_query,
                                   &pending.request.query);
-        return send(connection, handle_(pending.request));
+        auto response = handle_(pending.request);
+        pending.on_closed = std::move(response.on_closed);
+        const auto queued = send(connection, std::move(response));
+        --unanswered_;
+        return queued;
     }
 
     void append_body(http_request& request, std::string_view data) const
@@ -243,6 +252,7 @@
 
     std::size_t max_body_;
     handler handle_;
+    std::atomic<std::int64_t> unanswered_{0};
     sockaddr_in listen_address_;
     std::string bound_address_;
     MHD_Daemon* daemon_{nullptr};
@@ -261,6 +271,11 @@
     return impl_->address();
 }
 
+std::int64_t http_server::unanswered() const
+{
+    return impl_->unanswered();
+}
+
 void http_server::stop_listening()
 {
     impl_->stop_listening();
