--- a/modules/http/http_server.cpp
+++ b/modules/http/http_server.cpp
@@ -32,12 +32,6 @@
     std::size_t offset{0};
 };
 
-// State of one response that is sent from memory. libmicrohttpd owns it and calls free_body().
-struct response_body {
-    std::string bytes;
-    std::function<void()> on_closed;
-};
-
 sockaddr_in parse_address(const std::string& text)
 {
     const auto colon = text.rfind(':');
@@ -98,23 +92,11 @@
     const std::unique_ptr<response_stream> stream{static_cast<response_stream*>(context)};
 }
 
-void free_body(void* context)
-{
-    const std::unique_ptr<response_body> body{static_cast<response_body*>(context)};
-    if (body->on_closed) {
-        body->on_closed();
-    }
-}
-
 MHD_Response* make_response(http_response& response)
 {
     if (!response.stream) {
-        auto body = std::make_unique<response_body>();
-        body->bytes = std::move(response.body);
-        body->on_closed = std::move(response.on_closed);
-        auto* const state = body.release();
-        return MHD_create_response_from_buffer_with_free_callback_cls(
-            state->bytes.size(), state->bytes.data(), &free_body, state);
+        return MHD_create_response_from_buffer(response.body.size(), response.body.data(),
+                                               MHD_RESPMEM_MUST_COPY);
     }
     auto stream = std::make_unique<response_stream>();
     stream->next = std::move(response.stream);
