Tests of peers that send bytes without end

50 servers at once send a body in chunks or without a frame, a head, interim responses, an event or comments without end, beside sound servers; callers, readers and instances send bytes that are no request; the store's answers are cut. Request bodies have a limit each, but none in sum.

--- /dev/null
+++ b/tests/gateway/endless_bytes_tests.cpp
@@ -0,0 +1,312 @@
+#include "standins/site/raw_server.h"
+#include "standins/site/site_caller.h"
+
+#include <CppUTest/TestHarness.h>
+#include <atomic>
+#include <chrono>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <thread>
+#include <utility>
+#include <vector>
+
+using namespace jujubevalve;
+using namespace jujubevalve::site;
+using deployment = jujubevalve::site::site;
+
+namespace
+{
+constexpr long max_peak_kb = 130 * 1024; ///< half of the smallest machine's memory
+constexpr const char* chunked_head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+void wait(time_ms time)
+{
+    std::this_thread::sleep_for(std::chrono::milliseconds{time.count()});
+}
+
+std::string chunk_of(const std::string& bytes)
+{
+    std::string size(8, '0');
+    for (std::size_t rest = bytes.size(), i = size.size(); i > 0; rest /= 16) {
+        size[--i] = "0123456789abcdef"[rest % 16];
+    }
+    return size + "\r\n" + bytes + "\r\n";
+}
+
+std::string repeated(const std::string& text)
+{
+    constexpr std::size_t block_bytes = 64 * 1024;
+    std::string block;
+    while (block.size() < block_bytes) {
+        block += text;
+    }
+    return block;
+}
+
+/// Sends `start` and then `block` until the peer closes.
+void send_without_end(const raw_connection& connection, const std::string& start,
+                      const std::string& block)
+{
+    if (connection.send(start)) {
+        while (connection.send(block)) {
+        }
+    }
+}
+
+long peak_memory_kb(pid_t process)
+{
+    std::ifstream status{"/proc/" + std::to_string(process) + "/status"};
+    for (std::string word; status >> word;) {
+        if (word == "VmHWM:") {
+            long peak = 0;
+            status >> peak;
+            return peak;
+        }
+    }
+    return -1;
+}
+} // namespace
+
+/// One gateway before peers that send bytes without end, or do not read what they are sent.
+TEST_GROUP(endless_bytes)
+{
+    std::unique_ptr<deployment> fleet;
+    std::unique_ptr<site_caller> caller;
+
+    void start_fleet(int engines, int plain_servers)
+    {
+        site_options options;
+        options.gateways = 1;
+        options.engines = engines;
+        options.plain_servers = plain_servers;
+        fleet = std::make_unique<deployment>(options);
+        caller = std::make_unique<site_caller>(*fleet);
+        CHECK(fleet->wait_ready(fleet->gateways()[0]));
+    }
+    void teardown() override
+    {
+        if (!caller) {
+            return;
+        }
+        for (const auto& violation : caller->violations()) {
+            FAIL(violation.c_str());
+        }
+        caller.reset();
+        fleet.reset();
+    }
+    site_gateway& gateway()
+    {
+        return fleet->gateways()[0];
+    }
+    void check_memory(const char* what, long limit_kb = max_peak_kb)
+    {
+        const auto peak = peak_memory_kb(gateway().process->id());
+        const auto text = std::string{what} + ": peak " + std::to_string(peak) + " kB";
+        UT_PRINT(text.c_str());
+        CHECK_TEXT(peak > 0 && peak < limit_kb, text.c_str());
+    }
+    void check_servers(const char* what, site_call faulty_kind, const std::string& start,
+                       const std::string& block)
+    {
+        constexpr int count = 50;
+        constexpr int sound_requests = 20;
+        const bool stream = is_stream(faulty_kind);
+        start_fleet(stream ? 0 : 2, stream ? 2 : 0);
+        std::vector<std::unique_ptr<raw_server>> servers;
+        for (int i = 0; i < count; ++i) {
+            servers.push_back(std::make_unique<raw_server>(
+                [&](const raw_connection& connection, const raw_request& /*request*/) {
+                    send_without_end(connection, start, block);
+                }));
+            const nlohmann::json entry{{"service", stream ? "models" : "orders"},
+                                       {"address", servers.back()->address()},
+                                       {"zone", "a"},
+                                       {"version", "v1"},
+                                       {"max-concurrency", 64},
+                                       {"state", "ready"},
+                                       {"warmup-left-ms", 0},
+                                       {"sequence", 1},
+                                       {"born", 1}};
+            fleet->store().rows().put("servers", "raw-" + std::to_string(i), entry.dump());
+        }
+        wait(time_ms{1000});
+        std::atomic<int> complete{0};
+        std::vector<std::thread> requests;
+        for (int i = 0; i < count; ++i) {
+            requests.emplace_back([&] {
+                complete += caller->call(gateway().listen, faulty_kind, 1).complete ? 1 : 0;
+            });
+        }
+        int answered = 0;
+        for (int i = 0; i < sound_requests; ++i) {
+            const auto kind = stream ? site_call::stock : site_call::note;
+            answered += caller->call(gateway().listen, kind, 2).complete ? 1 : 0;
+        }
+        for (auto& request : requests) {
+            request.join();
+        }
+        LONGS_EQUAL(0, complete);
+        LONGS_EQUAL(sound_requests, answered);
+        check_memory(what);
+    }
+};
+
+// Fault: 50 servers send a body in chunks without end.
+TEST(endless_bytes, a_body_in_chunks_takes_limited_memory)
+{
+    check_servers("chunks", site_call::order, chunked_head, chunk_of(repeated("x")));
+}
+
+// Fault: 50 servers send a body without a frame that never ends.
+TEST(endless_bytes, a_body_without_a_frame_takes_limited_memory)
+{
+    check_servers("no frame", site_call::order, "HTTP/1.1 200 OK\r\n\r\n", repeated("x"));
+}
+
+// Fault: 50 servers send header fields without end.
+TEST(endless_bytes, a_head_takes_limited_memory)
+{
+    check_servers("head", site_call::order, "HTTP/1.1 200 OK\r\n", repeated("X-Field: value\r\n"));
+}
+
+// Fault: 50 servers send interim responses without end.
+TEST(endless_bytes, interim_responses_take_limited_memory)
+{
+    check_servers("interim", site_call::order, "", repeated("HTTP/1.1 102 Processing\r\n\r\n"));
+}
+
+// Fault: 50 servers send one event that never ends.
+TEST(endless_bytes, an_event_takes_limited_memory)
+{
+    check_servers("event", site_call::note,
+                  "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                  "Transfer-Encoding: chunked\r\n\r\n" +
+                      chunk_of("data: "),
+                  chunk_of(repeated("x")));
+}
+
+// Fault: 50 servers send comments without end, faster than the callers read them.
+TEST(endless_bytes, comments_take_limited_memory)
+{
+    check_servers("comments", site_call::note,
+                  "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                  "Transfer-Encoding: chunked\r\n\r\n",
+                  chunk_of(repeated(": comment\n\n")));
+}
+
+// Fault: instances that reach the store through this one do not read its answers.
+TEST(endless_bytes, relayed_answers_that_nobody_reads_take_limited_memory)
+{
+    start_fleet(0, 2);
+    constexpr int rows = 70;
+    constexpr std::size_t row_bytes = 100'000;
+    for (int i = 0; i < rows; ++i) {
+        fleet->store().rows().put("large", std::to_string(i), std::string(row_bytes, 'x'));
+    }
+    constexpr int connections = 60;
+    constexpr int window_bytes = 4096;
+    std::vector<std::unique_ptr<raw_caller>> readers;
+    for (int i = 0; i < connections; ++i) {
+        readers.push_back(std::make_unique<raw_caller>(gateway().relay, window_bytes));
+        readers.back()->send("GET /v1/rows-get?table=large&part= HTTP/1.1\r\nHost: store\r\n\r\n");
+    }
+    wait(time_ms{3000});
+    CHECK(caller->call(gateway().listen, site_call::stock, 1).complete);
+    check_memory("relay");
+}
+
+// Fault: callers, readers and other instances send bytes that are no request, without end.
+TEST(endless_bytes, requests_without_end_take_limited_memory)
+{
+    start_fleet(0, 2);
+    const std::string post = "POST /order/x HTTP/1.1\r\nHost: site.example\r\nX-Key: key-1\r\n";
+    const std::vector<std::pair<std::string, std::string>> inputs{
+        {post, repeated("X-Field: value\r\n")},
+        {post + "Transfer-Encoding: chunked\r\n\r\n", chunk_of(repeated("x"))},
+        {post + "Content-Length: 99999999999\r\n\r\n", repeated("x")},
+        {"", repeated("\r\n")},
+        {"", repeated("x")}};
+    auto& target = gateway();
+    std::vector<std::unique_ptr<raw_caller>> callers;
+    std::vector<std::thread> senders;
+    const auto send = [&](const std::string& address, const std::string& start,
+                          const std::string& block) {
+        callers.push_back(std::make_unique<raw_caller>(address));
+        senders.emplace_back([&sender = *callers.back(), start, block] {
+            constexpr int blocks = 500;
+            sender.send(start);
+            for (int sent = 0; sent < blocks; ++sent) {
+                sender.send(block);
+            }
+        });
+    };
+    constexpr int connections = 10;
+    for (int i = 0; i < connections; ++i) {
+        for (const auto& [start, block] : inputs) {
+            send(target.listen, start, block);
+        }
+        for (const auto& address : {target.readiness, target.directory}) {
+            send(address, inputs[0].first, inputs[0].second);
+            send(address, "", repeated("\r\n"));
+            send(address, "", repeated("x"));
+        }
+        send(target.peer, "", repeated("x"));
+        send(target.peer, "", repeated(std::string{'\0', '\1', '\xf6'}));
+        send(target.peer, "\x0f\xff", repeated("x"));
+    }
+    constexpr int sound_requests = 20;
+    int answered = 0;
+    for (int i = 0; i < sound_requests; ++i) {
+        answered += caller->call(target.listen, site_call::stock, 1).complete ? 1 : 0;
+    }
+    wait(time_ms{2000});
+    for (auto& each : callers) {
+        each->stop_sending();
+    }
+    for (auto& sender : senders) {
+        sender.join();
+    }
+    LONGS_EQUAL(sound_requests, answered);
+    check_memory("requests");
+}
+
+// Fault: a server ends in the middle of its answer, and callers take the part for the whole.
+TEST(endless_bytes, an_answer_of_the_store_that_is_cut_is_no_answer)
+{
+    start_fleet(0, 2);
+    const std::string page = R"({"rows":[],"row-version":999999999,"has-more":false})";
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
+    const std::vector<std::string> answers{"HTTP/1.1 200 OK",
+                                           head,
+                                           head + "\r\n",
+                                           head + "Connection: close\r\n\r\n{\"rows\":[",
+                                           head + "Transfer-Encoding: chunked\r\n\r\n" +
+                                               chunk_of(page),
+                                           head + "Content-Length: 1000\r\n\r\n" + page};
+    for (const bool reset : {false, true}) {
+        for (const auto& answer : answers) {
+            raw_server faulty{[&](const raw_connection& connection, const raw_request&) {
+                connection.send(answer);
+                if (reset) {
+                    connection.reset();
+                } else {
+                    connection.close();
+                }
+            }};
+            gateway().store_path->set_target(faulty.address());
+            gateway().store_path->cut_open();
+            wait(time_ms{1000});
+            CHECK(caller->call(gateway().listen, site_call::stock, 1).complete);
+            CHECK(faulty.requests() > 0);
+            gateway().store_path->set_target(fleet->store().address());
+            gateway().store_path->cut_open();
+            const auto version = fleet->publish();
+            int status = 0;
+            for (int attempt = 0; attempt < 50 && status != 200; ++attempt) {
+                wait(time_ms{100});
+                status = caller->probe_version(gateway().listen, version);
+            }
+            LONGS_EQUAL(200, status);
+        }
+    }
+}
