--- a/tests/gateway/endless_bytes_tests.cpp
+++ b/tests/gateway/endless_bytes_tests.cpp
@@ -194,6 +194,27 @@
                   chunk_of(repeated(": comment\n\n")));
 }
 
+// Fault: the store answers every call with a body that never ends.
+TEST(endless_bytes, an_answer_of_the_store_takes_limited_memory)
+{
+    start_fleet(0, 2);
+    raw_server faulty{[](const raw_connection& connection, const raw_request& /*request*/) {
+        send_without_end(connection, chunked_head, chunk_of(repeated("x")));
+    }};
+    gateway().store_path->set_target(faulty.address());
+    gateway().store_path->cut_open();
+    constexpr int requests = 10;
+    int answered = 0;
+    for (int i = 0; i < requests; ++i) {
+        answered += caller->call(gateway().listen, site_call::stock, 1).complete ? 1 : 0;
+        wait(time_ms{600});
+    }
+    gateway().store_path->set_target(fleet->store().address());
+    gateway().store_path->cut_open();
+    LONGS_EQUAL(requests, answered);
+    check_memory("store");
+}
+
 // Fault: instances that reach the store through this one do not read its answers.
 TEST(endless_bytes, relayed_answers_that_nobody_reads_take_limited_memory)
 {
