A caller that does not read its answers gets no further ones

Cause: requests on one connection were answered one after the other, however much of the earlier answers was unsent. Change: the next request is read once the answer before has been passed to the kernel. A connection without progress for the idle timeout is closed.

--- a/modules/gateway/front_connection.cpp
+++ b/modules/gateway/front_connection.cpp
@@ -101,7 +101,7 @@
         return;
     }
     parsing_ = true;
-    while (!closed_ && !call_ && !input_.empty()) {
+    while (!closed_ && !call_ && !awaits_drain_ && !input_.empty()) {
         const bool begins = !reader_.in_message();
         if (begins) {
             await_head(); // before feed(), which may read the head and start the body's time
@@ -219,18 +219,31 @@
         return;
     }
     reader_.next();
+    awaits_drain_ = unsent() > 0;
     // The call is still on the stack, so it is deleted and the next request parsed afterwards.
     context_.loop.defer([this] {
         delete_ended_call();
-        if (closed_) {
-            return;
-        }
-        stream_->set_reading(true);
-        await_request();
-        parse();
+        next_request();
     });
 }
 
+// A caller that does not read its answers gets no further ones.
+void front_connection::next_request()
+{
+    if (closed_ || call_ || reader_.in_message()) {
+        return;
+    }
+    awaits_drain_ = unsent() > 0;
+    if (awaits_drain_) {
+        stream_->set_reading(false);
+        watch_drain();
+        return;
+    }
+    stream_->set_reading(true);
+    await_request();
+    parse();
+}
+
 void front_connection::send(std::string_view bytes)
 {
     if (stream_) {
@@ -271,6 +284,8 @@
 {
     if (draining_) {
         release(true);
+    } else if (std::exchange(awaits_drain_, false)) {
+        context_.loop.defer([this] { next_request(); });
     }
 }
 
@@ -291,7 +306,8 @@
         return;
     }
     if (gently && unsent() > 0) {
-        await_drain();
+        draining_ = true;
+        watch_drain();
         context_.loop.defer([this] { delete_ended_call(); });
     } else {
         release(gently);
@@ -299,15 +315,15 @@
 }
 
 // A caller may take long to receive an answer, but not without receiving any of it.
-void front_connection::await_drain()
+void front_connection::watch_drain()
 {
-    draining_ = true;
     context_.loop.cancel(timer_);
     timer_ = context_.loop.schedule(limits().idle_timeout, [this, before = unsent()] {
         timer_ = 0;
         if (unsent() < before) {
-            await_drain();
+            watch_drain();
         } else {
+            closed_ = true;
             release(true);
         }
     });
--- a/modules/gateway/front_connection.h
+++ b/modules/gateway/front_connection.h
@@ -65,7 +65,8 @@
     [[nodiscard]] bool awaits_request() const;
     /// Closes the connection, gently once the answer has been sent.
     void close_connection(bool gently);
-    void await_drain();
+    void next_request();
+    void watch_drain();
     void release(bool gently);
     [[nodiscard]] const caller_limits& limits() const;
 
@@ -85,7 +86,8 @@
     std::unique_ptr<call> call_;
     timer_id timer_{0};
     bool closed_{false};
-    bool draining_{false}; ///< closed but for the rest of an answer
+    bool draining_{false};     ///< closed but for the rest of an answer
+    bool awaits_drain_{false}; ///< reads the next request once the answer has been sent
 };
 
 } // namespace jujubevalve
--- a/tests/gateway/endless_bytes_tests.cpp
+++ b/tests/gateway/endless_bytes_tests.cpp
@@ -215,6 +215,35 @@
     check_memory("store");
 }
 
+// Fault: a reader sends requests on one connection without end and never reads an answer.
+TEST(endless_bytes, answers_that_nobody_reads_take_limited_memory)
+{
+    start_fleet(0, 2);
+    constexpr int connections = 3;
+    std::vector<std::unique_ptr<raw_caller>> readers;
+    std::vector<std::thread> senders;
+    for (int i = 0; i < connections; ++i) {
+        readers.push_back(std::make_unique<raw_caller>(gateway().readiness));
+        senders.emplace_back([&reader = *readers.back()] {
+            const auto block = repeated("GET /v1/readyz HTTP/1.1\r\nHost: gateway\r\n\r\n");
+            for (int sent = 0; sent < 1000; ++sent) {
+                reader.send(block);
+            }
+        });
+    }
+    wait(time_ms{4000});
+    const auto result = caller->call(gateway().listen, site_call::stock, 1);
+    for (auto& reader : readers) {
+        reader->stop_sending();
+    }
+    for (auto& sender : senders) {
+        sender.join();
+    }
+    CHECK(result.complete);
+    constexpr long max_peak_of_three_kb = 48 * 1024;
+    check_memory("unread answers", max_peak_of_three_kb);
+}
+
 // Fault: instances that reach the store through this one do not read its answers.
 TEST(endless_bytes, relayed_answers_that_nobody_reads_take_limited_memory)
 {
