The store relay slows the sender down instead of closing

Cause: a connection was closed when 4 MiB were unsent, so a slow reader could not receive a large answer; 64 connections could take 256 MiB. Change: beyond 64 KiB unsent, the sending side is not read until they are sent.

--- a/modules/gateway/store_relay.cpp
+++ b/modules/gateway/store_relay.cpp
@@ -12,8 +12,8 @@
 {
 /// Max relayed connections: a few for each of ten instances that are cut off.
 constexpr std::size_t max_links = 64;
-/// Max unsent bytes in one direction; the connection is closed beyond this.
-constexpr std::size_t max_pending_bytes = 4 * 1024 * 1024;
+/// Unsent bytes in one direction beyond which the sender is not read until they are sent.
+constexpr std::size_t max_pending_bytes = 64 * 1024;
 } // namespace
 
 /// A connection from another instance, paired with its connection to the store.
@@ -28,7 +28,9 @@
         , instance_{loop, to_store_, descriptor, liveness_limits{}}
         , store_{loop, to_instance_, store, liveness_limits{}}
     {
+        to_store_.source = &instance_;
         to_store_.target = &store_;
+        to_instance_.source = &store_;
         to_instance_.target = &instance_;
     }
 
@@ -45,11 +47,13 @@
         {
             target->write(bytes);
             if (target->pending() > max_pending_bytes) {
-                owner_.end();
+                source->set_reading(false);
             }
         }
+        void on_drained() override { target->set_reading(true); }
         void on_ended(stream_end /*how*/) override { owner_.end(); }
 
+        tcp_stream* source{nullptr};
         tcp_stream* target{nullptr};
 
     private:
--- a/tests/gateway/endless_bytes_tests.cpp
+++ b/tests/gateway/endless_bytes_tests.cpp
@@ -265,6 +265,23 @@
     check_memory("relay");
 }
 
+// Fault: a relay closes a connection whose reader is slower than the store.
+TEST(endless_bytes, a_slow_reader_receives_a_whole_relayed_answer)
+{
+    start_fleet(0, 2);
+    constexpr int rows = 200;
+    constexpr std::size_t row_bytes = 100'000;
+    for (int i = 0; i < rows; ++i) {
+        fleet->store().rows().put("large", std::to_string(i), std::string(row_bytes, 'x'));
+    }
+    constexpr int window_bytes = 256 * 1024;
+    raw_caller reader{gateway().relay, window_bytes};
+    reader.send("GET /v1/rows-get?table=large&part= HTTP/1.1\r\nHost: store\r\n\r\n");
+    wait(time_ms{1000});
+    const auto received = reader.receive_all(time_ms{6000});
+    CHECK(received.bytes.size() > rows * row_bytes);
+}
+
 // Fault: callers, readers and other instances send bytes that are no request, without end.
 TEST(endless_bytes, requests_without_end_take_limited_memory)
 {
