A stream does not keep what it has sent

Cause: the send buffer was emptied only when all of it had been sent. To a peer that never catches up it grew by every byte sent, though pending() stayed small. Change: the sent part is removed once it is at least as large as the rest.

--- a/modules/net/tcp_stream.cpp
+++ b/modules/net/tcp_stream.cpp
@@ -274,6 +274,10 @@
         }
         sent_bytes_ += n > 0 ? static_cast<std::size_t>(n) : 0;
         if (pending() > 0) {
+            // A peer that never catches up would otherwise make the buffer grow without end.
+            if (sent_bytes_ >= pending()) {
+                send_buffer_.erase(0, std::exchange(sent_bytes_, 0));
+            }
             return true;
         }
         send_buffer_.clear();
--- a/tests/gateway/endless_bytes_tests.cpp
+++ b/tests/gateway/endless_bytes_tests.cpp
@@ -1,12 +1,17 @@
+#include "net/net.h"
 #include "standins/site/raw_server.h"
 #include "standins/site/site_caller.h"
 
 #include <CppUTest/TestHarness.h>
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <fstream>
+#include <functional>
 #include <nlohmann/json.hpp>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 #include <utility>
 #include <vector>
 
@@ -65,6 +70,11 @@
     }
     return -1;
 }
+
+struct ignoring_listener final : stream_listener {
+    void on_received(std::string_view /*bytes*/) override {}
+    void on_ended(stream_end /*how*/) override {}
+};
 } // namespace
 
 /// One gateway before peers that send bytes without end, or do not read what they are sent.
@@ -282,6 +292,44 @@
     CHECK(received.bytes.size() > rows * row_bytes);
 }
 
+// Fault: a peer reads as fast as bytes are written, but never catches up.
+TEST(endless_bytes, a_stream_does_not_keep_what_it_has_sent)
+{
+    constexpr std::size_t block_bytes = 64 * 1024;
+    constexpr std::size_t total_bytes = 64 * 1024 * 1024;
+    std::array<int, 2> ends{};
+    LONGS_EQUAL(0, ::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends.data()));
+    event_loop loop;
+    ignoring_listener listener;
+    tcp_stream stream{loop, listener, ends[0], liveness_limits{}};
+    const std::string block(block_bytes, 'x');
+    std::string received(block_bytes, '\0');
+    while (stream.pending() < 4 * block_bytes) {
+        stream.write(block);
+    }
+    const auto peak_before = peak_memory_kb(::getpid());
+    std::size_t received_bytes = 0;
+    std::function<void()> step = [&] {
+        if (stream.pending() < 4 * block_bytes) {
+            stream.write(block);
+        }
+        const auto count = ::recv(ends[1], received.data(), received.size(), 0);
+        received_bytes += count > 0 ? static_cast<std::size_t>(count) : 0;
+        if (received_bytes >= total_bytes) {
+            loop.stop();
+            return;
+        }
+        loop.schedule(time_ms{1}, step);
+    };
+    loop.schedule(time_ms{0}, step);
+    loop.run();
+    ::close(ends[1]);
+    constexpr long max_growth_kb = 16 * 1024;
+    const auto growth = peak_memory_kb(::getpid()) - peak_before;
+    UT_PRINT(("stream: grew by " + std::to_string(growth) + " kB").c_str());
+    CHECK(growth < max_growth_kb);
+}
+
 // Fault: callers, readers and other instances send bytes that are no request, without end.
 TEST(endless_bytes, requests_without_end_take_limited_memory)
 {
