The drain limit counts from the end of the requests

What operators saw: with requests in flight for longer than drain_limit_ms, a router answered them all, then ended with exit code 3 and its grants left for recovery, although the platform was there.

Cause: the limit is for the return of grants at the end of a drain (docs/OPERATIONS.md), but counted from its beginning, so that no attempt was made.

Change: it counts from when the last request has ended.

Tests: early_end, requests_that_outlast_the_drain_limit_are_answered: exit code 3 before, 0 and the incarnation drained now.

--- a/modules/router/router.cpp
+++ b/modules/router/router.cpp
@@ -132,7 +132,6 @@
     bool drain(time_ms limit)
     {
         spdlog::info("starting drain");
-        const auto deadline = clock_.now() + limit;
         draining_ = true;
         members_.set_draining();
         gossip_task_->wake();
@@ -145,7 +144,7 @@
             wait_for(time_ms{20});
         }
         http_server_.stop_listening();
-        const bool clean = finish_drain(deadline);
+        const bool clean = finish_drain(clock_.now() + limit);
         spdlog::info("finished drain, {}", clean ? "grants returned" : "grants left for recovery");
         return clean;
     }
--- a/tests/process/early_end_tests.cpp
+++ b/tests/process/early_end_tests.cpp
@@ -348,7 +348,8 @@
     LONGS_EQUAL(0, all->router("entry-a").wait_ended(generous).value_or(-1));
 }
 
-// G7: guards against a drain limit that cuts calls and streams in progress without an answer.
+// G7, G1: guards against a drain limit that cuts calls and streams in progress, or that has passed
+// when the grants are to be returned.
 TEST(early_end, requests_that_outlast_the_drain_limit_are_answered)
 {
     start({"--drain_limit_ms=1000"},
@@ -372,7 +373,8 @@
                    answer.c_str());
     }
     LONGS_EQUAL(2, all->ran("long"));
-    CHECK(all->router("entry-a").wait_ended(generous).has_value());
+    LONGS_EQUAL(0, all->router("entry-a").wait_ended(generous).value_or(-1));
+    CHECK(all->state_of(all->incarnation("entry-a")) == incarnation_state::drained);
 }
 
 // G7, G5: guards against an answer that a drain cuts because its caller reads it slowly.
