--- a/modules/core/limited_buffer.h
+++ b/modules/core/limited_buffer.h
@@ -15,9 +15,6 @@
     /// Every buffer may hold `guaranteed_bytes`, however much the others use.
     buffer_memory(std::size_t total_bytes, std::size_t guaranteed_bytes);
 
-    buffer_memory(const buffer_memory&) = delete;
-    buffer_memory& operator=(const buffer_memory&) = delete;
-
     [[nodiscard]] std::size_t used() const { return used_; }
 
 private:
