An idle connection keeps no body of its last request

Cause: the body was cleared at the head of the next request. Found when reading the change again. Change: it is cleared when its call has ended. Test: failed on at the twelfth connection, passes now.

--- a/modules/gateway/front_connection.cpp
+++ b/modules/gateway/front_connection.cpp
@@ -197,6 +197,7 @@
     if (!call_ || !call_->is_ended()) {
         return;
     }
+    body_.clear(); // an idle connection takes no memory from the requests of others
     auto* const ended = call_.release();
     context_.loop.defer([ended] { delete ended; }); // NOLINT(cppcoreguidelines-owning-memory)
 }
--- a/tests/gateway_ends/endless_bytes_tests.cpp
+++ b/tests/gateway_ends/endless_bytes_tests.cpp
@@ -422,3 +422,22 @@
         }
     }
 }
+
+// Guards against idle connections that keep the memory of their last request's body, so that other
+// requests are refused.
+TEST(endless_bytes, bodies_of_ended_requests_take_no_memory_from_others)
+{
+    start_fleet(0, 2);
+    constexpr std::size_t body_bytes = 3 * 1024 * 1024;
+    constexpr int connections = 14; // together more than the bodies in progress may take
+    std::vector<std::unique_ptr<raw_caller>> callers;
+    for (int i = 0; i < connections; ++i) {
+        callers.push_back(std::make_unique<raw_caller>(gateway().listen));
+        callers.back()->send(
+            "POST /stock/x HTTP/1.1\r\nHost: site.example\r\nX-Request-Id: large-" +
+            std::to_string(i) + "\r\nX-Key: key-1\r\nContent-Length: " +
+            std::to_string(body_bytes) + "\r\n\r\n" + std::string(body_bytes, 'x'));
+        const auto answer = callers.back()->receive_until("\r\n\r\n", seconds(5));
+        CHECK_TEXT(answer.starts_with("HTTP/1.1 200 "), answer.c_str());
+    }
+}
