The soak's callers ask for as many tokens as their answers have

Change: kept_caller asks for what the answer has, as site_caller does; the server stand-in reports a request whose answer is longer than it asked for, so that the two cannot differ again. The soak leaves what each request took in the file "spent" beside the logs. The check of the prepaid budget is unchanged.

--- a/apps/soak/main.cpp
+++ b/apps/soak/main.cpp
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <chrono>
 #include <filesystem>
+#include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
 #include <random>
@@ -143,7 +144,8 @@
     check.range("prepaid", FLAGS_prepaid, 0, 1'000'000'000);
     check.exit_on_error();
     try {
-        site::site deployment{options()};
+        const auto made = options();
+        site::site deployment{made};
         site::site_caller caller{deployment};
         soak::fault_plan faults{deployment, caller, static_cast<std::uint64_t>(FLAGS_seed)};
         for (const auto& gateway : deployment.gateways()) {
@@ -185,6 +187,9 @@
             thread.join();
         }
         caller.check_responses_against_runs();
+        // Kept beside the gateways' logs, which name what each call was charged.
+        std::ofstream{std::filesystem::path{made.log_folder} / "spent"}
+            << deployment.book().to_text();
         return report(caller, faults);
     } catch (const std::exception& error) {
         std::cerr << "error: " << error.what() << "\n";
--- a/modules/standins/site/kept_caller.cpp
+++ b/modules/standins/site/kept_caller.cpp
@@ -101,7 +101,9 @@
                        "\r\nX-Request-Id: " + id + "\r\nX-Deadline-Ms: " + std::to_string(limit) +
                        "\r\nX-Key: key-1\r\n";
     if (is_stream(kind)) {
-        head += "X-Model: m\r\nX-Token-Usage: 500,30\r\nX-Prefix-Hash: a1:300,b1:100,c1:100\r\n";
+        head += "X-Model: m\r\nX-Token-Usage: 500," +
+                std::to_string(event_count(id) * tokens_per_event) +
+                "\r\nX-Prefix-Hash: a1:300,b1:100,c1:100\r\n";
     }
     if (!is_chunked) {
         head += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
--- a/modules/standins/site/run_tracker.cpp
+++ b/modules/standins/site/run_tracker.cpp
@@ -2,6 +2,8 @@
 
 #include "core/digest.h"
 
+#include <numeric>
+
 namespace jujubevalve::site
 {
 
@@ -39,17 +41,28 @@
     const std::lock_guard lock{mutex_};
     token_count sum = 0;
     for (const auto& [id, item] : requests_) {
-        if (item.account != account) {
-            continue;
-        }
-        sum += item.prompt;
-        for (const auto& [event, tokens] : item.events) {
-            sum += tokens;
-        }
+        sum += item.account == account ? item.spent() : 0;
     }
     return sum;
 }
 
+std::string run_tracker::to_text() const
+{
+    const std::lock_guard lock{mutex_};
+    std::string text;
+    for (const auto& [id, item] : requests_) {
+        text += id + " " + item.account + " " + std::to_string(item.spent()) + " " +
+                std::to_string(item.runs) + "\n";
+    }
+    return text;
+}
+
+token_count run_tracker::request_runs::spent() const
+{
+    return std::accumulate(events.begin(), events.end(), prompt,
+                           [](token_count sum, const auto& event) { return sum + event.second; });
+}
+
 std::vector<std::string> run_tracker::violations() const
 {
     const std::lock_guard lock{mutex_};
--- a/modules/standins/site/run_tracker.h
+++ b/modules/standins/site/run_tracker.h
@@ -25,6 +25,9 @@
     [[nodiscard]] int runs(const std::string& id) const;
     /// Tokens spent: the prompt once per request, and each distinct event once.
     [[nodiscard]] token_count spent(const std::string& account) const;
+    /// Returns a line for each request, "id account tokens runs", to compare with the processes'
+    /// logs.
+    [[nodiscard]] std::string to_text() const;
     [[nodiscard]] std::vector<std::string> violations() const;
 
 private:
@@ -33,6 +36,8 @@
         int runs{0};
         token_count prompt{0};
         std::map<int, token_count> events;
+
+        [[nodiscard]] token_count spent() const;
     };
 
     mutable std::mutex mutex_;
--- a/modules/standins/site/server_standin.cpp
+++ b/modules/standins/site/server_standin.cpp
@@ -137,6 +137,11 @@
 {
     const std::string last{request.header("last-event-id")};
     const int count = event_count(id);
+    const std::string usage{request.header("x-token-usage")};
+    const auto max_output = std::atoll(usage.c_str() + std::min(usage.find(',') + 1, usage.size()));
+    if (max_output < count * tokens_per_event) {
+        tracker_.violated(id + " has a longer answer than it asked for");
+    }
     int next = std::atoi(last.c_str()) + 1;
     int cut_at = draw(cut_stream) ? next + count / 3 : -1;
     const bool skips = draw(skip_event) && next + 3 < count;
