--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -7,6 +7,7 @@
 #include <cstdio>
 #include <fmt/format.h>
 #include <fstream>
+#include <iostream>
 #include <sstream>
 #include <stdexcept>
 #include <unistd.h>
@@ -223,7 +224,25 @@
 
 bool fleet::wait_live(const std::string& name, std::int64_t instances)
 {
-    return eventually([&] { return metrics(name)["instances_live"] == instances; });
+    if (eventually([&] { return metrics(name)["instances_live"] == instances; })) {
+        return true;
+    }
+    print_peers();
+    return false;
+}
+
+void fleet::print_peers()
+{
+    for (const auto& [name, process] : routers_) {
+        const auto ended = process->wait_ended(time_ms{0});
+        std::cerr << name << (ended ? " ended with " + std::to_string(*ended) : " runs");
+        for (const auto& [counter, value] : metrics(name)) {
+            if (counter.starts_with("peer_") || counter == "instances_live") {
+                std::cerr << " " << counter << "=" << value;
+            }
+        }
+        std::cerr << std::endl;
+    }
 }
 
 budget_rows fleet::budget(const std::string& name)
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -61,6 +61,7 @@
     [[nodiscard]] std::map<std::string, std::int64_t> metrics(const std::string& name);
 
     /// Whether the named router counts so many other live instances and itself.
+    /// Prints what all routers know of their peers if it is not so in time.
     [[nodiscard]] bool wait_live(const std::string& name, std::int64_t instances);
 
     [[nodiscard]] std::string platform_address() const { return platform_address_; }
@@ -107,6 +108,7 @@
     std::string platform_for_routers;
 
 private:
+    void print_peers();
     void make_tables(const fleet_options& options);
     [[nodiscard]] nlohmann::json get_json(const std::string& address, const std::string& path);
     void post(const std::string& address, const std::string& path, const nlohmann::json& body);
