A change between two pages of a table is followed

Cause: a listing of several pages took the version of the last page for all of them, and followed the changes from there. A row on an earlier page that changed between the two was missed until its next change.

Change: changes are followed from the version of the first page.

--- a/modules/gateway/table_follower.cpp
+++ b/modules/gateway/table_follower.cpp
@@ -55,7 +55,7 @@
     if (can_follow_) {
         follow(attempt);
     } else {
-        list(attempt, {}, {});
+        list(attempt, {}, {}, std::nullopt);
     }
 }
 
@@ -67,33 +67,34 @@
 }
 
 void table_follower::list(std::int64_t attempt, std::vector<stored_row> rows,
-                          const std::string& from)
+                          const std::string& from, std::optional<std::int64_t> version)
 {
-    store_.read(options_.table, {}, from, {},
-                [this, attempt, rows = std::move(rows)](const result<row_page>& page) mutable {
-                    if (attempt != attempt_) {
-                        return;
-                    }
-                    if (!page) {
-                        report_failure();
-                        return;
-                    }
-                    rows.insert(rows.end(), page->rows.begin(), page->rows.end());
-                    if (page->more && !page->rows.empty()) {
-                        // The next page begins after the last key.
-                        const auto next = split_row_name(page->rows.back().row.key).key + '\x01';
-                        list(attempt, std::move(rows), next);
-                        return;
-                    }
-                    version_ = page->version;
-                    read_at_ = page->store_time;
-                    listed_ = true;
-                    can_follow_ = true;
-                    last_call_answered_ = true;
-                    handlers_.call_completed(true);
-                    handlers_.listed(rows);
-                    follow(attempt);
-                });
+    store_.read(
+        options_.table, {}, from, {},
+        [this, attempt, rows = std::move(rows), version](const result<row_page>& page) mutable {
+            if (attempt != attempt_) {
+                return;
+            }
+            if (!page) {
+                report_failure();
+                return;
+            }
+            rows.insert(rows.end(), page->rows.begin(), page->rows.end());
+            if (page->more && !page->rows.empty()) {
+                // The next page begins after the last key.
+                const auto next = split_row_name(page->rows.back().row.key).key + '\x01';
+                list(attempt, std::move(rows), next, version.value_or(page->version));
+                return;
+            }
+            version_ = version.value_or(page->version);
+            read_at_ = page->store_time;
+            listed_ = true;
+            can_follow_ = true;
+            last_call_answered_ = true;
+            handlers_.call_completed(true);
+            handlers_.listed(rows);
+            follow(attempt);
+        });
 }
 
 void table_follower::follow(std::int64_t attempt)
@@ -105,7 +106,7 @@
         }
         if (response.history_expired) {
             can_follow_ = false;
-            list(attempt, {}, {});
+            list(attempt, {}, {}, std::nullopt);
             return;
         }
         if (!response.page) {
--- a/modules/gateway/table_follower.h
+++ b/modules/gateway/table_follower.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -62,7 +63,10 @@
     [[nodiscard]] bool is_listed() const { return listed_; }
 
 private:
-    void list(std::int64_t attempt, std::vector<stored_row> rows, const std::string& from);
+    /// Reads the page that begins at a key. `version` is that of the first page: later changes to
+    /// rows on earlier pages are followed from there.
+    void list(std::int64_t attempt, std::vector<stored_row> rows, const std::string& from,
+              std::optional<std::int64_t> version);
     void follow(std::int64_t attempt);
     void read_next(std::int64_t attempt);
     void report_failure();
