News that follow soon find open connections between instances

An instance that had started again got the crashes of the last minute only, and a block with little evidence was weighed against all others.

Change: connections stay open for a minute after news; the second time that boards differ, an instance asks for all notices as an empty one does; what has too little evidence to be blamed is not weighed further.

--- a/modules/dispatch/prompt_quarantine.cpp
+++ b/modules/dispatch/prompt_quarantine.cpp
@@ -350,6 +350,12 @@
     }
     std::sort(candidates.begin(), candidates.end(), std::greater<>{});
     for (const auto& [weight, block] : candidates) {
+        // What has crashed servers before needs less evidence, so that a fault that comes back is
+        // seen soon.
+        const bool is_known = past_quarantine(block) != nullptr;
+        if (weight < (is_known ? options_.min_crashes_again : options_.min_crashes)) {
+            continue;
+        }
         const auto& explained = evidence.at(block);
         std::vector<std::uint64_t> cause;
         for (const auto companion : blocks_always_with(block, explained, events)) {
@@ -361,9 +367,6 @@
         const bool was_sound = std::any_of(cause.begin(), cause.end(), [this](auto companion) {
             return board_.last_sound(companion).has_value();
         });
-        // What has crashed servers before needs less evidence, so that a fault that comes back is
-        // seen soon.
-        const bool is_known = past_quarantine(block) != nullptr;
         const auto base = is_known    ? options_.min_crashes_again
                           : was_sound ? options_.min_crashes_if_sound
                                       : options_.min_crashes;
--- a/modules/gateway/notice_exchange.cpp
+++ b/modules/gateway/notice_exchange.cpp
@@ -18,11 +18,15 @@
 /// Boards that differ first exchange the notices of this time. Only what lasts longer than one
 /// comparison is worth sending all.
 constexpr time_ms recent_time{60'000};
+/// Of a board without notices. Whoever names it gets all.
+constexpr std::uint64_t empty_digest = 0;
 constexpr time_ms reconnect_delay{1000};
 /// A peer that has not answered a comparison within this time gets a new connection.
 constexpr time_ms answer_timeout{1500};
 /// Connections stay open this long without anything to tell or to ask.
 constexpr time_ms linger_time{3000};
+/// The same after news. More often follow soon.
+constexpr time_ms news_linger_time{60'000};
 } // namespace
 
 notice_exchange::notice_exchange(event_loop& loop, notice_board& board,
@@ -75,6 +79,7 @@
 void notice_exchange::pass_on(const fleet_notice& notice)
 {
     news_.push_back(notice);
+    connected_until_ = loop_.now() + news_linger_time;
     wake();
     if (!std::exchange(flush_scheduled_, true)) {
         loop_.schedule(batch_time, [this] { flush(); });
@@ -96,10 +101,10 @@
 
 bool notice_exchange::is_active() const
 {
-    return loop_.now() < asked_until_ + linger_time ||
+    return loop_.now() < std::max(asked_until_ + linger_time, connected_until_) ||
            std::any_of(peers_.begin(), peers_.end(), [this](const auto& entry) {
                const auto& agreed = entry.second.agreed_digest;
-               return board_.digest() != agreed.value_or(0);
+               return board_.digest() != agreed.value_or(empty_digest);
            });
 }
 
@@ -195,6 +200,8 @@
 {
     peer.compared_at = peer.compared_at.value_or(loop_.now());
     peer.compared_digest = board_.digest();
+    peer.differences = peer.agreed_digest ? 0 : peer.differences;
+    peer.is_asked_for_all = false;
     send(peer, compare_notices{peer.compared_digest});
 }
 
@@ -236,14 +243,16 @@
     }
     if (compared->digest == board_.digest()) {
         peer.agreed_digest = compared->digest;
-        peer.differences = 0;
         return;
     }
     peer.agreed_digest.reset();
-    const bool lacks_more = ++peer.differences > 1 || compared->digest == 0;
+    const bool lacks_more = ++peer.differences > 1 || compared->digest == empty_digest;
     for (const auto& part : to_messages(lacks_more ? board_.all() : recent())) {
         send(peer, part);
     }
+    if (lacks_more && !std::exchange(peer.is_asked_for_all, true)) {
+        send(peer, compare_notices{empty_digest});
+    }
 }
 
 std::vector<fleet_notice> notice_exchange::recent() const
@@ -267,7 +276,8 @@
     } else if (const auto* const compared = std::get_if<compare_notices>(&message)) {
         replies.emplace_back(share_notices{}); // shows that this instance is there
         if (compared->digest != board_.digest()) {
-            for (auto& part : to_messages(compared->digest == 0 ? board_.all() : recent())) {
+            for (auto& part :
+                 to_messages(compared->digest == empty_digest ? board_.all() : recent())) {
                 replies.emplace_back(std::move(part));
             }
             replies.emplace_back(compare_notices{board_.digest()});
--- a/modules/gateway/notice_exchange.h
+++ b/modules/gateway/notice_exchange.h
@@ -55,7 +55,8 @@
         std::optional<time_ms> compared_at;         ///< of a comparison without an answer
         std::uint64_t compared_digest{0};           ///< of this board, in the last comparison
         std::optional<std::uint64_t> agreed_digest; ///< of both boards when they were last alike
-        int differences{0}; ///< comparisons in a row that found the boards different
+        int differences{0};           ///< comparisons in a row that found the boards different
+        bool is_asked_for_all{false}; ///< since the last comparison
         time_ms next_connect{};
     };
 
@@ -84,6 +85,7 @@
     bool flush_scheduled_{false};
     bool run_scheduled_{false};
     time_ms asked_until_{};
+    time_ms connected_until_{}; ///< so that further news need not wait for connections
     time_ms next_compare_{};
     time_ms compare_interval_{};
     std::uint64_t last_compared_digest_{0};
