What a review of the lasting evidence found

Turns to try a block differed from block to block, levels had no bound, a limit of 0 could not be lifted, a quarantine that had ended came back from the store, a board could be larger than a connection buffers, and an evicted sound answer brought its quarantine back.

Change: one turn for all blocks, given to listed instances only; levels end at the highest that messages may have; limits below a request in 10 s are raised to that; old quarantines in the store are read up to twice their time, and the own row is rewritten when a sound answer ends one; 2^16 blocks in all crashes instead of 2^19, and 8,192 sound answers; a quarantine leaves with the sound answer that ended it; crashes are sent before sound answers; all notices go to a peer at most once in 10 s; a peer that ended its connection counts as different. The bounds that two tests of notice_board rely on are now set in them; what they check is the same.

Measured: dispatch_tests, gateway_tests and crashing_prompts pass, two new tests among them (turns; highest level).

--- a/modules/dispatch/fleet_notices.cpp
+++ b/modules/dispatch/fleet_notices.cpp
@@ -145,14 +145,22 @@
 }
 
 template <class Map>
-void notice_board::limit_size(Map& notices)
-{
-    while (notices.size() > options_.max_notices) {
-        remove(notices, std::min_element(
-                            notices.begin(), notices.end(), [this](const auto& a, const auto& b) {
-                                return std::pair{!is_refuted(a.second), stamp_of(a.second)} <
-                                       std::pair{!is_refuted(b.second), stamp_of(b.second)};
-                            }));
+void notice_board::limit_size(Map& notices, std::size_t max_size)
+{
+    while (notices.size() > max_size) {
+        const auto evicted =
+            std::min_element(notices.begin(), notices.end(), [this](const auto& a, const auto& b) {
+                return std::pair{!is_refuted(a.second), stamp_of(a.second)} <
+                       std::pair{!is_refuted(b.second), stamp_of(b.second)};
+            });
+        if constexpr (std::is_same_v<typename Map::mapped_type, sound_notice>) {
+            // Without the answer that has ended it, a quarantine would be in force again.
+            const auto quarantine = quarantines_.find(evicted->first);
+            if (quarantine != quarantines_.end() && !is_in_force(quarantine->second)) {
+                remove(quarantines_, quarantine);
+            }
+        }
+        remove(notices, evicted);
         report_dropped("notices", 1);
     }
 }
@@ -246,7 +254,7 @@
 bool notice_board::is_in_force(const quarantine_notice& quarantine) const
 {
     const auto sound = last_sound(quarantine.block);
-    return !sound || *sound <= quarantine.since;
+    return !sound || *sound < quarantine.since;
 }
 
 bool notice_board::is_clear_of(std::uint64_t block, time_ms crashed_at) const
@@ -361,7 +369,7 @@
         return false;
     }
     replace(sounds_, notice.block, notice);
-    limit_size(sounds_);
+    limit_size(sounds_, options_.max_sounds);
     return sounds_.contains(notice.block);
 }
 
@@ -373,7 +381,7 @@
         return false;
     }
     replace(quarantines_, notice.block, notice);
-    limit_size(quarantines_);
+    limit_size(quarantines_, options_.max_notices);
     return quarantines_.contains(notice.block);
 }
 
@@ -390,7 +398,7 @@
         }
     }
     replace(limits_, notice.server, notice);
-    limit_size(limits_);
+    limit_size(limits_, options_.max_notices);
     return limits_.contains(notice.server);
 }
 
@@ -414,8 +422,9 @@
     // Quarantines first: they matter most to an instance that has just joined.
     add(quarantines_, time_ms{});
     add(limits_, time_ms{});
-    add(sounds_, oldest);
+    // An old sound answer is only taken for a crash that is known.
     add(crashes_, oldest);
+    add(sounds_, oldest);
     return found;
 }
 
--- a/modules/dispatch/fleet_notices.h
+++ b/modules/dispatch/fleet_notices.h
@@ -41,6 +41,9 @@
     friend bool operator==(const sound_notice&, const sound_notice&) = default;
 };
 
+/// Longer quarantines than those of this level are never made.
+inline constexpr std::int64_t max_quarantine_level = 64;
+
 /// A prompt block that no request may carry to a server for a while.
 struct quarantine_notice {
     std::uint64_t block{0};
@@ -81,10 +84,11 @@
     time_ms quarantine_memory{300'000}; ///< after a sound answer has ended it
     /// A stamp may lie this far ahead of the store's time, which each instance only estimates.
     time_ms max_clock_error{2000};
-    std::size_t max_notices{2048};           ///< of each kind
+    std::size_t max_notices{2048};           ///< of each kind but sound answers
+    std::size_t max_sounds{1U << 13U};       ///< each block of a crash may have one
     std::size_t max_suspects{128};           ///< prompts of a crash notice
     std::size_t max_blocks{400};             ///< of a prompt in it, so that a message holds it
-    std::size_t max_crash_blocks{1U << 19U}; ///< of all crash notices
+    std::size_t max_crash_blocks{1U << 16U}; ///< of all crash notices; a connection buffers them
 };
 
 /// The notices that all instances share. Notices may arrive in any order and more than once: boards
@@ -132,7 +136,7 @@
     /// Returns when a quarantine allows a trial. It stays in force until a sound answer ends it.
     [[nodiscard]] time_ms end_of(const quarantine_notice& quarantine) const;
 
-    /// Returns whether no sound answer to the block has come since the quarantine began.
+    /// Returns whether no sound answer to the block has begun since the quarantine did.
     [[nodiscard]] bool is_in_force(const quarantine_notice& quarantine) const;
 
     /// Returns whether a sound answer shows that the block did not cause a crash.
@@ -161,7 +165,7 @@
     void report_dropped(std::string_view what, std::size_t count) const;
     /// Evicts notices beyond the limits.
     template <class Map>
-    void limit_size(Map& notices);
+    void limit_size(Map& notices, std::size_t max_size);
     void limit_crash_blocks();
     /// Puts a notice in the place of the one with the same key, if any.
     template <class Map, class Notice>
--- a/modules/dispatch/prompt_quarantine.cpp
+++ b/modules/dispatch/prompt_quarantine.cpp
@@ -14,11 +14,19 @@
 
 namespace
 {
+/// The estimate of the store's time may go back by this much while an answer is awaited.
+constexpr time_ms max_clock_step{1000};
+
 bool contains(const shared_prompt& prompt, std::uint64_t block)
 {
     return std::find(prompt.begin(), prompt.end(), block) != prompt.end();
 }
 
+std::int64_t next_level(const quarantine_notice& quarantine)
+{
+    return std::min(quarantine.level + 1, max_quarantine_level);
+}
+
 template <class Predicate>
 bool any_block(const crash_notice& notice, const Predicate& predicate)
 {
@@ -237,18 +245,20 @@
         }
         std::optional<time_ms> crashed_at;
         for (const auto& event : events) {
+            if (event.at < board_.end_of(quarantine) || !was_in_flight(event.notices, block)) {
+                continue;
+            }
             const bool has_other_cause = std::any_of(
                 board_.quarantines().begin(), board_.quarantines().end(), [&](const auto& other) {
                     return other.first != block && event.at < board_.end_of(other.second) &&
                            was_in_flight(event.notices, other.first);
                 });
-            if (event.at >= board_.end_of(quarantine) && was_in_flight(event.notices, block) &&
-                !has_other_cause) {
+            if (!has_other_cause) {
                 crashed_at = std::max(crashed_at.value_or(event.at), event.at);
             }
         }
         if (crashed_at) {
-            extended.push_back({block, *crashed_at, quarantine.level + 1});
+            extended.push_back({block, *crashed_at, next_level(quarantine)});
         }
     }
     for (const auto& quarantine : extended) {
@@ -409,7 +419,7 @@
                 return suspects_of(event).contains(block);
             });
             const quarantine_notice quarantine{block, last->at,
-                                               past == nullptr ? 0 : past->level + 1};
+                                               past == nullptr ? 0 : next_level(*past)};
             if (board_.put(quarantine, now)) {
                 added.push_back(quarantine);
                 is_new = true;
@@ -433,16 +443,17 @@
     return newest && now - *newest < board_.options().min_crash_time;
 }
 
-// All instances know whose turn it is, so that a block that many request at once is tried once.
-bool prompt_quarantine::may_try(const quarantine_notice& quarantine, time_ms now) const
+// All instances know whose turn it is, so that a block that many request at once is tried once. The
+// turn is for all blocks, as a prompt may have several in quarantine.
+bool prompt_quarantine::may_try(time_ms now) const
 {
-    const auto slot = (now - board_.end_of(quarantine)).count() / options_.trial_slot.count();
-    const auto seed =
-        hash64(std::to_string(slot),
-               quarantine.block ^ static_cast<std::uint64_t>(quarantine.since.count()));
-    const auto own_weight = hash64(own_instance_, seed);
+    if (std::find(instances_.begin(), instances_.end(), own_instance_) == instances_.end()) {
+        return false;
+    }
+    const auto slot = hash64(std::to_string(now.count() / options_.trial_slot.count()));
+    const auto own_weight = hash64(own_instance_, slot);
     return std::all_of(instances_.begin(), instances_.end(), [&](const auto& instance) {
-        return instance == own_instance_ || hash64(instance, seed) < own_weight;
+        return instance == own_instance_ || hash64(instance, slot) < own_weight;
     });
 }
 
@@ -462,7 +473,7 @@
             continue;
         }
         const auto end = board_.end_of(quarantine);
-        if (now >= end && may_try(quarantine, now)) {
+        if (now >= end && may_try(now)) {
             admission.is_trial = true;
             admission.block = block;
             continue;
@@ -479,7 +490,8 @@
         for (const auto block : prompt) {
             const auto found = board_.quarantines().find(block);
             if (found != board_.quarantines().end() && board_.is_in_force(found->second)) {
-                board_.put(quarantine_notice{block, now, found->second.level + 1}, now);
+                board_.put(
+                    quarantine_notice{block, now - max_clock_step, next_level(found->second)}, now);
             }
         }
     }
--- a/modules/dispatch/prompt_quarantine.h
+++ b/modules/dispatch/prompt_quarantine.h
@@ -141,7 +141,8 @@
     [[nodiscard]] rivals rivals_of(const event_set& explained,
                                    const std::vector<std::uint64_t>& cause,
                                    const std::vector<crash_event>& events) const;
-    [[nodiscard]] bool may_try(const quarantine_notice& quarantine, time_ms now) const;
+    /// Returns whether it is this instance's turn to try blocks whose quarantine allows it.
+    [[nodiscard]] bool may_try(time_ms now) const;
 
     notice_board& board_;
     std::uint64_t reporter_;
--- a/modules/dispatch/tests/prompt_quarantine_tests.cpp
+++ b/modules/dispatch/tests/prompt_quarantine_tests.cpp
@@ -653,6 +653,50 @@
     }
 }
 
+// Guards against trials by several instances at once, and against a prompt that is never tried
+// since it has several blocks in quarantine and never is it one instance's turn for all of them.
+TEST(prompt_quarantine, one_instance_at_a_time_may_try_all_blocks_of_a_prompt)
+{
+    const std::vector<std::string> names{"instance-0", "instance-1", "instance-2"};
+    const shared_prompt prompt{1, 2, 3};
+    constexpr time_ms since{1'000'000};
+    std::set<std::string> tried;
+    for (int slot = 0; slot < 40; ++slot) {
+        const auto now = since + seconds(31 + 3 * slot);
+        std::size_t trials = 0;
+        for (const auto& name : names) {
+            notice_board board;
+            prompt_quarantine quarantine{board, name};
+            quarantine.set_instances(name, names);
+            for (const auto block : prompt) {
+                board.put(quarantine_notice{block, since, 0}, now);
+            }
+            if (quarantine.admit(prompt, now).is_trial) {
+                ++trials;
+                tried.insert(name);
+                CHECK_FALSE(quarantine.check(prompt, now + time_ms{1}).is_admitted);
+                // A sound answer ends all of them, also if the clock was set back a little.
+                quarantine.record_sound(prompt, now - time_ms{200}, now);
+                CHECK(quarantine.check(prompt, now + time_ms{1}).is_admitted);
+            }
+        }
+        CHECK_EQUAL(1U, trials);
+    }
+    CHECK_EQUAL(names.size(), tried.size());
+}
+
+// Guards against a level that other instances take for malformed.
+TEST(prompt_quarantine, a_quarantine_has_a_highest_level)
+{
+    notice_board board;
+    prompt_quarantine quarantine{board, "instance-0"};
+    quarantine.set_instances("instance-0", {"instance-0"});
+    constexpr time_ms now{10'000'000};
+    board.put(quarantine_notice{crash_block, now - minutes(61), max_quarantine_level}, now);
+    CHECK(quarantine.admit({crash_block}, now).is_trial);
+    CHECK_EQUAL(max_quarantine_level, board.quarantines().at(crash_block).level);
+}
+
 namespace
 {
 /// All that has happened to the blocks, without any limit.
@@ -803,6 +847,7 @@
 {
     notice_board_options options;
     options.max_notices = 10;
+    options.max_sounds = 10;
     options.max_suspects = 5;
     options.max_blocks = 3;
     options.max_crash_blocks = 40;
@@ -838,6 +883,8 @@
 {
     notice_board_options options;
     options.max_notices = 100;
+    options.max_sounds = 100;
+    options.max_crash_blocks = 1U << 19U;
     notice_board board{options};
     constexpr time_ms now{1'000'000};
     for (std::uint64_t i = 0; i < 1000; ++i) {
--- a/modules/gateway/fleet_notice_service.cpp
+++ b/modules/gateway/fleet_notice_service.cpp
@@ -20,14 +20,14 @@
 /// A limit that answers go on naming is published again after this time. Small against its
 /// retention.
 constexpr time_ms limit_refresh_interval{15'000};
+/// Lower limits of servers are raised to this one, as only an answer can lift a limit.
+constexpr std::int64_t min_limit_per_1000_s = 100;
 /// Evidence that exceeds a limit is logged at most once in this time, and always counted.
 constexpr time_ms drop_log_interval{1000};
 /// Time after which quarantines that the store has not taken are written again.
 constexpr time_ms save_retry_delay{1000};
 /// Newest quarantines that are written. Fits a row.
 constexpr std::size_t max_saved_quarantines = 1024;
-/// Older ones are not read at the start: an instance that is gone may have left them behind.
-constexpr time_ms max_saved_age = minutes(24 * 60);
 /// Instances answer a crash notice within this time, each at another moment.
 constexpr time_ms max_answer_delay{150};
 
@@ -52,14 +52,13 @@
 /// Reads one quarantine of a row of the store; nothing if it is malformed.
 std::optional<quarantine_notice> read_quarantine(const nlohmann::json& fields)
 {
-    constexpr std::int64_t max_level = 64;
     if (!fields.is_array() || fields.size() != 3 || !fields[0].is_number_unsigned() ||
         !fields[1].is_number_unsigned() || !fields[2].is_number_unsigned()) {
         return std::nullopt;
     }
     const auto since = fields[1].get<std::int64_t>();
     const auto level = fields[2].get<std::int64_t>();
-    return since >= 0 && level >= 0 && level <= max_level
+    return since >= 0 && level >= 0 && level <= max_quarantine_level
                ? std::optional{quarantine_notice{fields[0].get<std::uint64_t>(), time_ms{since},
                                                  level}}
                : std::nullopt;
@@ -111,7 +110,15 @@
             }
             for (const auto& row : rows) {
                 const auto quarantine = read_quarantine(row);
-                if (quarantine && now() - quarantine->since < max_saved_age) {
+                if (!quarantine) {
+                    continue;
+                }
+                if (stored.row.key == own_row_key()) {
+                    saved_.push_back(*quarantine);
+                }
+                // An instance that is gone may have left one behind that has ended since.
+                const auto end = board_.end_of(*quarantine);
+                if (now() < end + (end - quarantine->since)) {
                     board_.put(*quarantine, now());
                 }
             }
@@ -242,7 +249,9 @@
     }
     const auto store_now = now();
     const auto limit =
-        per_s ? std::optional{static_cast<std::int64_t>(std::floor(*per_s * 1000))} : std::nullopt;
+        per_s ? std::optional{std::max(min_limit_per_1000_s,
+                                       static_cast<std::int64_t>(std::floor(*per_s * 1000)))}
+              : std::nullopt;
     if (!limit && store_now - (loop_.now() - sent_at) <= known->second.at) {
         return;
     }
@@ -328,6 +337,11 @@
     });
 }
 
+std::string fleet_notice_service::own_row_key() const
+{
+    return std::string{quarantine_table} + "/" + instance_;
+}
+
 void fleet_notice_service::save()
 {
     std::vector<quarantine_notice> newest;
@@ -347,19 +361,18 @@
         rows.push_back({quarantine.block, quarantine.since.count(), quarantine.level});
     }
     saved_ = std::move(newest);
-    store_.commit({{}, {{std::string{quarantine_table} + "/" + instance_, rows.dump()}}, {}},
-                  [this](const store_commit& commit) {
-                      if (commit.outcome.outcome == commit_outcome::committed || save_scheduled_) {
-                          return;
-                      }
-                      metrics_.count("quarantines_not_saved");
-                      log_.write("quarantines_not_saved", log_fields{}, loop_.now());
-                      save_scheduled_ = true;
-                      loop_.schedule(save_retry_delay, [this] {
-                          save_scheduled_ = false;
-                          save();
-                      });
-                  });
+    store_.commit({{}, {{own_row_key(), rows.dump()}}, {}}, [this](const store_commit& commit) {
+        if (commit.outcome.outcome == commit_outcome::committed || save_scheduled_) {
+            return;
+        }
+        metrics_.count("quarantines_not_saved");
+        log_.write("quarantines_not_saved", log_fields{}, loop_.now());
+        save_scheduled_ = true;
+        loop_.schedule(save_retry_delay, [this] {
+            save_scheduled_ = false;
+            save();
+        });
+    });
 }
 
 } // namespace jujubevalve
--- a/modules/gateway/fleet_notice_service.h
+++ b/modules/gateway/fleet_notice_service.h
@@ -83,6 +83,8 @@
     void schedule_evaluation();
     void evaluate();
     [[nodiscard]] bool has_reported(std::uint64_t block) const;
+    /// Returns the key of the row with this instance's quarantines.
+    [[nodiscard]] std::string own_row_key() const;
     void save();
 
     event_loop& loop_;
--- a/modules/gateway/notice_exchange.cpp
+++ b/modules/gateway/notice_exchange.cpp
@@ -18,6 +18,10 @@
 /// Boards that differ first exchange the notices of this time. Only what lasts longer than one
 /// comparison is worth sending all.
 constexpr time_ms recent_time{60'000};
+/// Least time from one exchange of all notices with a peer to the next.
+constexpr time_ms all_interval{10'000};
+/// After so many comparisons in a row that found boards different, they become less frequent.
+constexpr int max_quick_comparisons = 4;
 /// Of a board without notices. Whoever names it gets all.
 constexpr std::uint64_t empty_digest = 0;
 constexpr time_ms reconnect_delay{1000};
@@ -103,8 +107,7 @@
 {
     return loop_.now() < std::max(asked_until_ + linger_time, connected_until_) ||
            std::any_of(peers_.begin(), peers_.end(), [this](const auto& entry) {
-               const auto& agreed = entry.second.agreed_digest;
-               return board_.digest() != agreed.value_or(empty_digest);
+               return entry.second.agreed_digest != board_.digest();
            });
 }
 
@@ -187,6 +190,7 @@
             },
             [this, instance] {
                 if (const auto found = peers_.find(instance); found != peers_.end()) {
+                    found->second.agreed_digest.reset(); // it may start again
                     retire(found->second);
                 }
             }});
@@ -201,7 +205,6 @@
     peer.compared_at = peer.compared_at.value_or(loop_.now());
     peer.compared_digest = board_.digest();
     peer.differences = peer.agreed_digest ? 0 : peer.differences;
-    peer.is_asked_for_all = false;
     send(peer, compare_notices{peer.compared_digest});
 }
 
@@ -246,11 +249,18 @@
         return;
     }
     peer.agreed_digest.reset();
-    const bool lacks_more = ++peer.differences > 1 || compared->digest == empty_digest;
+    ++peer.differences;
+    if (peer.differences <= max_quick_comparisons) {
+        compare_interval_ = compare_interval;
+        next_compare_ = std::min(next_compare_, loop_.now() + compare_interval);
+    }
+    const bool lacks_more =
+        compared->digest == empty_digest || (peer.differences > 1 && loop_.now() >= peer.next_all);
     for (const auto& part : to_messages(lacks_more ? board_.all() : recent())) {
         send(peer, part);
     }
-    if (lacks_more && !std::exchange(peer.is_asked_for_all, true)) {
+    if (lacks_more && loop_.now() >= peer.next_all) {
+        peer.next_all = loop_.now() + all_interval;
         send(peer, compare_notices{empty_digest});
     }
 }
--- a/modules/gateway/notice_exchange.h
+++ b/modules/gateway/notice_exchange.h
@@ -55,8 +55,8 @@
         std::optional<time_ms> compared_at;         ///< of a comparison without an answer
         std::uint64_t compared_digest{0};           ///< of this board, in the last comparison
         std::optional<std::uint64_t> agreed_digest; ///< of both boards when they were last alike
-        int differences{0};           ///< comparisons in a row that found the boards different
-        bool is_asked_for_all{false}; ///< since the last comparison
+        int differences{0}; ///< comparisons in a row that found the boards different
+        time_ms next_all{}; ///< when all notices may be exchanged again
         time_ms next_connect{};
     };
 
--- a/modules/gateway/peer_messages.cpp
+++ b/modules/gateway/peer_messages.cpp
@@ -18,8 +18,6 @@
 
 /// Size of an encoded number, or of the start of an array, at most.
 constexpr std::size_t max_number_bytes = 9;
-/// Longer quarantines are never made.
-constexpr std::int64_t max_quarantine_level = 64;
 /// A million requests a second, the most that is read of a server's limit.
 constexpr std::int64_t max_limit_per_1000_s = 1'000'000'000;
 
