One place decides when a refused caller should return

Cause: the delays of refusals were drawn in class call, by two ranges, and nothing that knows when there is room could say so. Change: retry_advisor computes the delay from the cause of the refusal and an expected time.

--- a/modules/gateway/call.cpp
+++ b/modules/gateway/call.cpp
@@ -27,12 +27,6 @@
 /// one, as the server may be closing a connection that was idle for longer.
 constexpr time_ms max_idle_if_not_rerunnable{1000};
 constexpr time_ms max_idle_if_rerunnable{3'600'000};
-/// Range of the retry delay sent to refused callers; randomised so that their retries are spread.
-constexpr time_ms min_retry_delay{100};
-constexpr time_ms max_retry_delay{600};
-/// The same for refusals that concern only this instance, so that another may serve the caller.
-constexpr time_ms min_other_instance_delay{10};
-constexpr time_ms max_other_instance_delay{80};
 /// Max size of a response that is buffered until it is complete.
 constexpr std::size_t max_buffered_response_bytes = 8 * 1024 * 1024;
 constexpr int default_priority = 5;
@@ -110,7 +104,7 @@
     config_ = context_.view.config();
     if (!config_ || !context_.view.is_complete()) {
         refuse(result_code::not_ready, 503, "this instance has no configuration yet",
-               retry_delay());
+               retry_after(refusal_cause::instance_not_ready));
         return false;
     }
     route_ = config_->find_route(request_.host, request_.target);
@@ -163,7 +157,8 @@
             refuse(outcome.code, exhausted ? 429 : 503,
                    exhausted ? "the prepaid budget does not cover the request"
                              : "no tokens of the prepaid budget can be had at present",
-                   exhausted ? retry_delay() : other_instance_retry_delay());
+                   retry_after(exhausted ? refusal_cause::budget_exhausted
+                                         : refusal_cause::budget_unavailable));
         });
 }
 
@@ -189,7 +184,7 @@
     if (is_first_attempt && stopping &&
         !stopping->may_send(context_.loop.now(), expected_duration())) {
         refuse(result_code::draining, 503, "this instance ends before the request might",
-               other_instance_retry_delay());
+               retry_after(refusal_cause::instance_stopping));
         return;
     }
     const auto now = context_.loop.now();
@@ -203,10 +198,10 @@
         if (state_ == run_state::not_run && is_limited) {
             // Another instance may hold a permit.
             refuse(result_code::overloaded, 503, "the backend servers are at the limits they name",
-                   other_instance_retry_delay());
+                   retry_after(refusal_cause::server_rate_limited));
         } else if (state_ == run_state::not_run) {
             refuse(result_code::no_backend_server, 503, "no backend server takes the request",
-                   retry_delay());
+                   retry_after(refusal_cause::no_server));
         } else {
             fail_call("no further server");
         }
@@ -397,7 +392,7 @@
     if (unsent && !to_caller_.has_begun()) {
         state_ = run_state::not_run;
         refuse(result_code::draining, 503, "this instance has ended before the request was sent",
-               other_instance_retry_delay());
+               retry_after(refusal_cause::instance_stopping));
     } else {
         state_ = run_state::ran;
         if (reservation_ != 0) {
@@ -533,18 +528,9 @@
     return std::max(deadline_ - context_.loop.now(), time_ms{0});
 }
 
-time_ms call::other_instance_retry_delay()
+time_ms call::retry_after(refusal_cause cause, std::optional<time_ms> room_expected_in)
 {
-    std::uniform_int_distribution<std::int64_t> delay_ms{min_other_instance_delay.count(),
-                                                         max_other_instance_delay.count()};
-    return time_ms{delay_ms(context_.random)};
-}
-
-time_ms call::retry_delay()
-{
-    std::uniform_int_distribution<std::int64_t> delay_ms{min_retry_delay.count(),
-                                                         max_retry_delay.count()};
-    return time_ms{delay_ms(context_.random)};
+    return context_.retry_advice.retry_after({cause, room_expected_in});
 }
 
 } // namespace jujubevalve
--- a/modules/gateway/call.h
+++ b/modules/gateway/call.h
@@ -102,8 +102,8 @@
     /// server may have sent without it reaching the caller.
     [[nodiscard]] token_count used_tokens() const;
     [[nodiscard]] time_ms time_left() const;
-    [[nodiscard]] time_ms retry_delay();
-    [[nodiscard]] time_ms other_instance_retry_delay();
+    [[nodiscard]] time_ms retry_after(refusal_cause cause,
+                                      std::optional<time_ms> room_expected_in = std::nullopt);
     /// Whether a server can go on where the stream that the caller has received ends.
     [[nodiscard]] bool can_continue_stream() const
     {
--- a/modules/gateway/call_context.h
+++ b/modules/gateway/call_context.h
@@ -2,6 +2,7 @@
 
 #include "core/limited_buffer.h"
 #include "dispatch/fleet_retry_budget.h"
+#include "dispatch/retry_advisor.h"
 #include "dispatch/server_choice.h"
 #include "gateway/abandoned_request_tracker.h"
 #include "gateway/decision_log.h"
@@ -36,6 +37,7 @@
     server_crash_detector& crashes;
     fleet_notice_service& notices;
     std::minstd_rand random;
+    retry_advisor retry_advice;
     std::map<std::string, fleet_retry_budget, std::less<>> retry_budgets; ///< by service name
     std::int64_t calls{0};                                                ///< calls received so far
     std::optional<stop_in_progress> stopping{};                           ///< since the stop signal
--- a/modules/gateway/call_response.cpp
+++ b/modules/gateway/call_response.cpp
@@ -236,7 +236,8 @@
         return;
     }
     if (state_ == run_state::not_run) {
-        refuse(result_code::overloaded, 503, "the backend servers are full", retry_delay());
+        refuse(result_code::overloaded, 503, "the backend servers are full",
+               retry_after(refusal_cause::servers_full));
     } else {
         fail_call("refused after an earlier attempt");
     }
@@ -339,7 +340,7 @@
         }
         if (state_ == run_state::not_run) {
             refuse(result_code::no_backend_server, 503, "no backend server can be reached",
-                   retry_delay());
+                   retry_after(refusal_cause::no_server));
             return;
         }
         fail_call("no further server can be reached");
--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -148,7 +148,9 @@
                    choice_,
                    crashes_,
                    notices_,
-                   std::minstd_rand{static_cast<std::minstd_rand::result_type>(hash64(incarnation_))},
+                   std::minstd_rand{
+                       static_cast<std::minstd_rand::result_type>(hash64(incarnation_))},
+                   retry_advisor{hash64("retries of " + incarnation_)},
                    {},
                    0}
         , caller_server_{context_, [](const http_head&, bool) { return std::nullopt; },
