--- a/modules/dispatch/server_directory.cpp
+++ b/modules/dispatch/server_directory.cpp
@@ -87,7 +87,9 @@
 {
     std::vector<server_state*> found;
     for (auto& [id, registration] : servers_) {
-        if (registration.state->entry.service == service && !registration.state->entry.leaving) {
+        const auto& entry = registration.state->entry;
+        if (entry.service == service && !entry.leaving &&
+            !evacuated_domains_.contains(entry.failure_domain)) {
             found.push_back(registration.state.get());
         }
     }
--- a/modules/dispatch/server_directory.h
+++ b/modules/dispatch/server_directory.h
@@ -2,6 +2,7 @@
 
 #include "core/time_ms.h"
 #include "dispatch/call_request.h"
+#include "dispatch/evacuations.h"
 #include "dispatch/server_entry.h"
 
 #include <cstdint>
@@ -62,6 +63,9 @@
     /// Erases removed entries unless the grace period still runs.
     void expire(time_ms now);
 
+    /// The failure domains whose servers are no candidates.
+    [[nodiscard]] evacuations& evacuated_domains() { return evacuated_domains_; }
+
     /// Returns the servers of a service that accept new requests.
     [[nodiscard]] std::vector<server_state*> candidates(std::string_view service);
 
@@ -104,6 +108,7 @@
     void avoid(server_state& state, int doublings, time_ms now);
 
     std::map<std::string, registration, std::less<>> servers_;
+    evacuations evacuated_domains_;
     std::optional<time_ms> last_registry_read_;
     std::optional<time_ms> last_outage_end_;
 };
--- a/modules/dispatch/tests/dispatch_tests.cpp
+++ b/modules/dispatch/tests/dispatch_tests.cpp
@@ -123,6 +123,24 @@
     CHECK_EQUAL(1U, candidate_count());
 }
 
+// Guards against requests to servers of a failure domain that the operator has evacuated, also if
+// all other domains are evacuated too, and against lasting exclusion.
+TEST(server_directory, excludes_servers_of_evacuated_domains)
+{
+    auto elsewhere = entry("s3");
+    elsewhere.failure_domain = "b";
+    servers.put(elsewhere, now);
+    const auto domain = servers.find("s1")->entry.failure_domain;
+    servers.evacuated_domains().set(domain, true);
+    CHECK_EQUAL(1U, candidate_count());
+    servers.put(entry("s4"), now); // starts in the evacuated domain
+    CHECK_EQUAL(1U, candidate_count());
+    servers.evacuated_domains().set("b", true);
+    CHECK_EQUAL(0U, candidate_count());
+    servers.evacuated_domains().replace_all({"b"});
+    CHECK_EQUAL(3U, candidate_count());
+}
+
 TEST(server_directory, excludes_a_draining_server_from_the_candidates)
 {
     auto leaving = entry("s1");
--- a/modules/gateway/fleet_view.cpp
+++ b/modules/gateway/fleet_view.cpp
@@ -4,6 +4,7 @@
 #include "platform/server_codec.h"
 #include "platform/wire_names.h"
 
+#include <set>
 #include <utility>
 
 namespace jujubevalve
@@ -60,12 +61,12 @@
     , log_{log}
     , metrics_{metrics}
     , instances_{settings.instance, instance_registry_options{}}
-    , config_rows_{loop,
-                   store,
-                   make_follow_options(wire::operator_table, max_feed_wait, time_ms{0}),
-                   {[this](const auto& rows) { apply_config(rows); },
-                    [this](const auto& rows) { apply_config(rows); },
-                    [this](bool reachable) { update_reachability(reachable); }}}
+    , operator_rows_{loop,
+                     store,
+                     make_follow_options(wire::operator_table, max_feed_wait, time_ms{0}),
+                     {[this](const auto& rows) { replace_operator_rows(rows); },
+                      [this](const auto& rows) { update_operator_rows(rows); },
+                      [this](bool reachable) { update_reachability(reachable); }}}
     , server_rows_{loop,
                    store,
                    make_follow_options(wire::server_table, max_feed_wait, server_poll_delay),
@@ -175,30 +176,82 @@
                   [done = std::move(done)](const store_commit& /*outcome*/) { done(); });
 }
 
-void fleet_view::apply_config(const std::vector<stored_row>& rows)
+void fleet_view::replace_operator_rows(const std::vector<stored_row>& rows)
 {
+    std::set<std::string, std::less<>> domains;
     for (const auto& stored : rows) {
-        if (split_row_name(stored.row.key).key != wire::config_key || stored.deleted) {
-            continue;
+        if (auto domain = evacuated_domain(stored); domain && !stored.deleted) {
+            domains.insert(std::move(domain).value());
         }
-        auto content = decode_config(stored.row.value);
-        log_fields fields;
-        fields.add("row_version", stored.row.version);
-        if (!content) {
-            log_.write("config_unreadable", fields.add("why", content.error().message),
-                       loop_.now());
-            continue;
-        }
-        if (config_ && content->version <= config_->version()) {
-            continue;
+    }
+    // Before the configuration, with which this instance begins to serve.
+    apply_evacuations(servers_.evacuated_domains().replace_all(domains));
+    for (const auto& stored : rows) {
+        apply_config(stored);
+    }
+}
+
+void fleet_view::update_operator_rows(const std::vector<stored_row>& rows)
+{
+    for (const auto& stored : rows) {
+        if (const auto domain = evacuated_domain(stored)) {
+            apply_evacuations(servers_.evacuated_domains().set(*domain, !stored.deleted));
         }
-        config_ = std::make_shared<const fleet_config>(std::move(content).value());
-        metrics_.count("config_versions");
-        fields.add("version", config_->version()).add("routes", config_->content().routes.size());
-        log_.write("config", fields, loop_.now());
-        if (on_config) {
-            on_config(config_);
+        apply_config(stored);
+    }
+}
+
+std::optional<std::string> fleet_view::evacuated_domain(const stored_row& stored)
+{
+    auto domain = decode_evacuation_key(split_row_name(stored.row.key).key);
+    if (domain && domain->empty()) {
+        metrics_.count("unreadable_operator_rows");
+        log_.write("evacuation_unreadable",
+                   log_fields{}.add("row_version", stored.row.version).add("why", "no domain"),
+                   loop_.now());
+        return std::nullopt;
+    }
+    return domain;
+}
+
+void fleet_view::apply_evacuations(const evacuations::changes& changed)
+{
+    const auto log_each = [this](std::string_view event, const auto& domains) {
+        for (const auto& domain : domains) {
+            log_.write(event,
+                       log_fields{}
+                           .add("domain", domain)
+                           .add("evacuated_domains", servers_.evacuated_domains().size()),
+                       loop_.now());
         }
+    };
+    metrics_.count("evacuations_begun", static_cast<std::int64_t>(changed.begun.size()));
+    metrics_.count("evacuations_ended", static_cast<std::int64_t>(changed.ended.size()));
+    log_each("evacuation_begun", changed.begun);
+    log_each("evacuation_ended", changed.ended);
+}
+
+void fleet_view::apply_config(const stored_row& stored)
+{
+    if (split_row_name(stored.row.key).key != wire::config_key || stored.deleted) {
+        return;
+    }
+    auto content = decode_config(stored.row.value);
+    log_fields fields;
+    fields.add("row_version", stored.row.version);
+    if (!content) {
+        log_.write("config_unreadable", fields.add("why", content.error().message), loop_.now());
+        return;
+    }
+    if (config_ && content->version <= config_->version()) {
+        return;
+    }
+    config_ = std::make_shared<const fleet_config>(std::move(content).value());
+    metrics_.count("config_versions");
+    fields.add("version", config_->version()).add("routes", config_->content().routes.size());
+    log_.write("config", fields, loop_.now());
+    if (on_config) {
+        on_config(config_);
     }
 }
 
@@ -296,7 +349,7 @@
     store_.use(route_.address());
     log_.write("store_way", log_fields{}.add("way", route_.address()), loop_.now());
     update_reachability(true);
-    std::vector<table_follower*> followers{&config_rows_};
+    std::vector<table_follower*> followers{&operator_rows_};
     if (!uses_digest_) {
         followers.push_back(&server_rows_);
         followers.push_back(&heartbeat_rows_);
--- a/modules/gateway/fleet_view.h
+++ b/modules/gateway/fleet_view.h
@@ -82,7 +82,14 @@
     void withdraw(std::function<void()> done);
 
 private:
-    void apply_config(const std::vector<stored_row>& rows);
+    /// Applies a full listing of the operator's table, or changes of it.
+    void replace_operator_rows(const std::vector<stored_row>& rows);
+    void update_operator_rows(const std::vector<stored_row>& rows);
+    void apply_config(const stored_row& stored);
+    void apply_evacuations(const evacuations::changes& changed);
+    /// Returns the failure domain that the row evacuates. Nothing if the row is of another kind, or
+    /// names no domain, which is logged.
+    std::optional<std::string> evacuated_domain(const stored_row& stored);
     void replace_servers(const std::vector<stored_row>& rows);
     void update_servers(const std::vector<stored_row>& rows);
     void apply_heartbeats(const std::vector<stored_row>& rows);
@@ -110,7 +117,7 @@
     fleet_config_ptr config_;
     server_directory servers_;
     instance_registry instances_;
-    table_follower config_rows_;
+    table_follower operator_rows_;
     table_follower server_rows_;
     table_follower heartbeat_rows_;
     fleet_digest_service digest_;
--- a/modules/standins/site/site.cpp
+++ b/modules/standins/site/site.cpp
@@ -184,11 +184,11 @@
 
 namespace
 {
-json registration(const std::string& service, const std::string& address, bool leaving,
-                  std::int64_t incarnation)
+json registration(const std::string& service, const std::string& address, const std::string& domain,
+                  bool leaving, std::int64_t incarnation)
 {
     return {
-        {"service", service},  {"address", address},    {"zone", "a"},
+        {"service", service},  {"address", address},    {"zone", domain},
         {"version", "v1"},     {"max-concurrency", 64}, {"state", leaving ? "draining" : "ready"},
         {"warmup-left-ms", 0}, {"sequence", 1},         {"born", incarnation}};
 }
@@ -197,9 +197,15 @@
 void site::announce(site_server& server, bool leaving)
 {
     server.registered = true;
-    store_.rows().put(
-        "servers", server.server->id(),
-        registration(server.service, server.path->address(), leaving, server.incarnation).dump());
+    store_.rows().put("servers", server.server->id(),
+                      registration(server.service, server.path->address(), server.failure_domain,
+                                   leaving, server.incarnation)
+                          .dump());
+}
+
+void site::evacuate(const std::string& domain, bool evacuated)
+{
+    store_.rows().put("op", "evacuate/" + domain, evacuated ? "{}" : "");
 }
 
 void site::announce_faulty_servers(bool present)
@@ -208,7 +214,8 @@
         const auto& server = *faulty_servers_[i];
         const auto* const service = i % 2 == 0 ? engine_service : "orders";
         store_.rows().put("servers", server.id(),
-                          present ? registration(service, server.address(), false, 1).dump() : "");
+                          present ? registration(service, server.address(), "a", false, 1).dump()
+                                  : "");
     }
 }
 
--- a/modules/standins/site/site.h
+++ b/modules/standins/site/site.h
@@ -53,6 +53,7 @@
     bool registered{false};
     std::int64_t incarnation{1};
     bool is_down{false}; ///< crashed and not back yet
+    std::string failure_domain{"a"};
 };
 
 /// What requests with a block that crashes servers did.
@@ -109,6 +110,9 @@
     void announce(site_server& server, bool leaving = false);
     void withdraw(site_server& server);
 
+    /// Lets no request be sent to the servers of a failure domain, or takes that back.
+    void evacuate(const std::string& domain, bool evacuated = true);
+
     /// Writes the next version of the configuration and returns its number. Every version has a
     /// route `/v<version>/` of its own besides the permanent ones.
     int publish(token_count prepaid);
