Keep the requests to cold servers within what they bear

A server that is cold gets at most the rate that its service names, from all instances together: permits of the rate belong to one instance each, and lapse after half a second at an overage of 1.5. Registrations tell until when, also in the digest; crashes and the end of an evacuation make a server cold until its registration is read.

--- a/modules/dispatch/fleet_config.h
+++ b/modules/dispatch/fleet_config.h
@@ -68,6 +68,8 @@
     std::string health_path;
     std::int64_t max_connections{0}; ///< to one server, from all clients together; 0: unknown
     std::optional<engine_options> engine;
+    time_ms warm_up{};                        ///< time for which a server is cold after its start
+    std::int64_t warm_up_limit_per_1000_s{0}; ///< requests that a cold server bears; 0: unlimited
 
     friend bool operator==(const service_options&, const service_options&) = default;
 };
--- a/modules/dispatch/fleet_digest.cpp
+++ b/modules/dispatch/fleet_digest.cpp
@@ -40,9 +40,13 @@
 
 std::string encode_digest_server(const server_entry& entry)
 {
-    return nlohmann::json{{"service", entry.service},       {"address", entry.address},
-                          {"domain", entry.failure_domain}, {"slots", entry.slots},
-                          {"leaving", entry.leaving},       {"incarnation", entry.incarnation}}
+    return nlohmann::json{{"service", entry.service},
+                          {"address", entry.address},
+                          {"domain", entry.failure_domain},
+                          {"slots", entry.slots},
+                          {"leaving", entry.leaving},
+                          {"incarnation", entry.incarnation},
+                          {"cold_until_ms", entry.cold_until.count()}}
         .dump();
 }
 
@@ -58,6 +62,9 @@
             entry.slots = json_fields::whole_number(object, "slots", 1, 1'000'000);
             entry.leaving = json_fields::truth(object, "leaving");
             entry.incarnation = json_fields::whole_number(object, "incarnation", 0, max_int64);
+            // Publishers of an earlier version do not write it.
+            entry.cold_until =
+                time_ms{json_fields::number_or(object, "cold_until_ms", 0, 0, max_int64)};
             return entry;
         });
 }
--- a/modules/dispatch/fleet_digest.h
+++ b/modules/dispatch/fleet_digest.h
@@ -35,8 +35,7 @@
 /// Fails with `malformed_row`.
 result<digest_entry> parse_digest_entry(std::string_view text);
 
-/// Content of a server's row. Fails with `malformed_row`. The remaining warm-up is not included,
-/// since it changes constantly.
+/// Content of a server's row. Fails with `malformed_row`.
 std::string encode_digest_server(const server_entry& entry);
 result<server_entry> decode_digest_server(const std::string& id, std::string_view text);
 
--- a/modules/dispatch/fleet_rate_limiter.cpp
+++ b/modules/dispatch/fleet_rate_limiter.cpp
@@ -39,6 +39,11 @@
 }
 } // namespace
 
+fleet_rate_limiter::fleet_rate_limiter(time_ms permit_validity)
+    : permit_validity_{permit_validity}
+{
+}
+
 void fleet_rate_limiter::set_instances(const std::string& own_instance,
                                        const std::vector<std::string>& instances)
 {
@@ -64,7 +69,7 @@
     if (limit_per_1000_s <= 0) {
         return 0;
     }
-    auto after = now - permit_validity;
+    auto after = now - permit_validity_;
     if (const auto used = used_until_.find(server); used != used_until_.end()) {
         after = std::max(after, used->second);
     }
@@ -101,7 +106,7 @@
 void fleet_rate_limiter::expire(time_ms now)
 {
     std::erase_if(used_until_,
-                  [&](const auto& entry) { return now - entry.second > permit_validity; });
+                  [&](const auto& entry) { return now - entry.second > permit_validity_; });
 }
 
 } // namespace jujubevalve
--- a/modules/dispatch/fleet_rate_limiter.h
+++ b/modules/dispatch/fleet_rate_limiter.h
@@ -18,6 +18,13 @@
 class fleet_rate_limiter
 {
 public:
+    /// Time in which a permit must be used. Requests in a window of 4 s thus stay below 5.5 times
+    /// the limit.
+    static constexpr time_ms default_permit_validity{1500};
+
+    /// In a window, requests stay below the limit times the window plus `permit_validity`.
+    explicit fleet_rate_limiter(time_ms permit_validity = default_permit_validity);
+
     /// Sets the instances that get requests.
     void set_instances(const std::string& own_instance, const std::vector<std::string>& instances);
 
@@ -36,15 +43,12 @@
     void expire(time_ms now);
 
 private:
-    /// Time in which a permit must be used. Requests in a window of 4 s thus stay below 5.5 times
-    /// the limit.
-    static constexpr time_ms permit_validity{1500};
-
     [[nodiscard]] bool is_own(std::uint64_t server, std::int64_t permit) const;
     /// Returns the first own permit that is valid and not used; 0 if there is none.
     [[nodiscard]] std::int64_t first_permit(std::uint64_t server, std::int64_t limit_per_1000_s,
                                             time_ms now) const;
 
+    time_ms permit_validity_;
     std::vector<std::uint64_t> other_instances_;  ///< hashes of their names
     std::uint64_t own_hash_{0};                   ///< 0 if this instance gets no requests
     std::map<std::uint64_t, time_ms> used_until_; ///< permits up to this time are used, by server
--- a/modules/dispatch/server_directory.cpp
+++ b/modules/dispatch/server_directory.cpp
@@ -22,6 +22,10 @@
 /// Initial and max time for which a server is avoided; doubled with each further failure.
 constexpr time_ms initial_avoidance{700};
 constexpr time_ms max_avoidance{4000};
+/// Ends of a warm-up that differ by less are those of the same one: they differ by the age that a
+/// registration has when it is read, at most a heartbeat. Keeping the first one spares rewriting
+/// the digest with each heartbeat.
+constexpr time_ms same_warm_up{1200};
 /// A server that refused as full gets requests again after this time.
 constexpr time_ms refusal_backoff{60};
 } // namespace
@@ -51,7 +55,12 @@
     if (!registration.state || restarted) {
         registration.state = std::make_shared<server_state>();
     }
+    const auto known_cold_until = registration.state->entry.cold_until;
     registration.state->entry = entry;
+    if (entry.cold_until <= known_cold_until &&
+        known_cold_until - entry.cold_until < same_warm_up && entry.cold_until != time_ms{}) {
+        registration.state->entry.cold_until = known_cold_until;
+    }
     registration.removed_at.reset();
     (void)now;
 }
--- a/modules/dispatch/server_entry.h
+++ b/modules/dispatch/server_entry.h
@@ -16,7 +16,7 @@
     std::string failure_domain;
     std::int64_t slots{1};
     bool leaving{false};         ///< drains: takes no new requests
-    time_ms warm_up{};           ///< remaining time of slow responses after its start
+    time_ms cold_until{};        ///< end of its warm-up, by the store's time; 0: it is warm
     std::int64_t incarnation{0}; ///< changes when the server restarts; 0 if unknown
 
     friend bool operator==(const server_entry&, const server_entry&) = default;
--- a/modules/dispatch/tests/dispatch_tests.cpp
+++ b/modules/dispatch/tests/dispatch_tests.cpp
@@ -161,6 +161,23 @@
     CHECK_FALSE(servers.find("s1")->avoid_until > now);
 }
 
+// Guards against rewriting the digest with each heartbeat of a cold server, and against a server
+// that stays cold, or is taken for warm, after its registration says otherwise.
+TEST(server_directory, keeps_the_end_of_a_warm_up_until_the_server_names_another)
+{
+    auto cold = entry("s1");
+    const auto put_with_end = [&](time_ms end) {
+        cold.cold_until = end;
+        servers.put(cold, now);
+        return servers.find("s1")->entry.cold_until;
+    };
+    CHECK(put_with_end(time_ms{5000}) == time_ms{5000});
+    CHECK(put_with_end(time_ms{4700}) == time_ms{5000});
+    CHECK(put_with_end(time_ms{9000}) == time_ms{9000});
+    CHECK(put_with_end(time_ms{5000}) == time_ms{5000});
+    CHECK(put_with_end(time_ms{}) == time_ms{});
+}
+
 TEST(server_directory, avoids_an_unreachable_server_for_longer_each_time)
 {
     time_ms last{};
--- a/modules/dispatch/tests/fleet_digest_tests.cpp
+++ b/modules/dispatch/tests/fleet_digest_tests.cpp
@@ -90,7 +90,7 @@
     for (const auto* text : {"", " ", "x 1", "12", "12x"}) {
         CHECK_FALSE(parse_digest_entry(text).has_value());
     }
-    const server_entry server{"s1", "models", "10.0.0.1:80", "a", 32, true, {}, 99};
+    const server_entry server{"s1", "models", "10.0.0.1:80", "a", 32, true, time_ms{70}, 99};
     CHECK(*decode_digest_server("s1", encode_digest_server(server)) == server);
     const digest_status status{time_ms{5}, 295, {{"crew", 1000}}, {"office"}};
     CHECK(*parse_digest_status(to_text(status)) == status);
--- a/modules/gateway/fleet_notice_service.cpp
+++ b/modules/gateway/fleet_notice_service.cpp
@@ -74,7 +74,8 @@
 
 fleet_notice_service::fleet_notice_service(event_loop& loop, store_client& store, decision_log& log,
                                            gateway_metrics& metrics, std::string instance,
-                                           const std::string& incarnation)
+                                           const std::string& incarnation,
+                                           double max_warm_up_overage)
     : loop_{loop}
     , store_{store}
     , log_{log}
@@ -83,6 +84,7 @@
     , reporter_{hash64(incarnation)}
     , random_{static_cast<std::minstd_rand::result_type>(reporter_)}
     , quarantine_{board_, incarnation}
+    , warm_ups_{max_warm_up_overage}
     , exchange_{loop, board_, [this] { return now(); }}
 {
     board_.on_news = [this](const fleet_notice& notice) { notice_changed(notice); };
@@ -137,6 +139,13 @@
     quarantine_.set_instances(instance_, listed);
     limiter_.set_instances(instance_, listed);
     limiter_.expire(now());
+    warm_ups_.set_instances(instance_, listed);
+    warm_ups_.set_counted(view.is_counted_by_others());
+    if (view.config() && config_ != view.config()) {
+        config_ = view.config();
+        warm_ups_.set_services(*config_);
+    }
+    warm_ups_.expire(now());
     std::erase_if(limits_in_use_,
                   [this](const auto& entry) { return !board_.limits().contains(entry.first); });
 }
@@ -201,6 +210,7 @@
 {
     exchange_.pass_on(notice);
     if (const auto* const crash = std::get_if<crash_notice>(&notice)) {
+        warm_ups_.note_crash(crash->server, now());
         const time_ms delay{
             std::uniform_int_distribution<std::int64_t>{0, max_answer_delay.count()}(random_)};
         loop_.schedule(delay, [this, seen = *crash] { quarantine_.answer(seen, now()); });
@@ -278,8 +288,16 @@
                loop_.now());
 }
 
+void fleet_notice_service::record_evacuation_end(const std::string& domain)
+{
+    warm_ups_.note_evacuation_ended(domain, now());
+}
+
 bool fleet_notice_service::may_send(const server_entry& server) const
 {
+    if (!warm_ups_.may_send(server, now())) {
+        return false;
+    }
     if (board_.limits().empty()) {
         return true;
     }
@@ -290,6 +308,10 @@
 
 void fleet_notice_service::note_sent(const server_entry& server)
 {
+    if (warm_ups_.is_limited(server, now())) {
+        warm_ups_.note_sent(server, now());
+        metrics_.count("requests_to_cold_servers");
+    }
     if (board_.limits().empty()) {
         return;
     }
--- a/modules/gateway/fleet_notice_service.h
+++ b/modules/gateway/fleet_notice_service.h
@@ -3,6 +3,7 @@
 #include "dispatch/fleet_notices.h"
 #include "dispatch/fleet_rate_limiter.h"
 #include "dispatch/prompt_quarantine.h"
+#include "dispatch/warm_up_limiter.h"
 #include "gateway/decision_log.h"
 #include "gateway/fleet_view.h"
 #include "gateway/gateway_metrics.h"
@@ -27,14 +28,14 @@
 
 /// Shares with the other instances what each learns of servers and prompts, and decides by it:
 /// keeps prompts that crash servers from them, and the requests to a server within the rate that it
-/// names for all instances. Quarantines are also written to the store, so that they survive the end
-/// of all instances.
+/// names for all instances, and a cold one within that of its service. Quarantines are also written
+/// to the store, so that they survive the end of all instances.
 class fleet_notice_service
 {
 public:
     fleet_notice_service(event_loop& loop, store_client& store, decision_log& log,
                          gateway_metrics& metrics, std::string instance,
-                         const std::string& incarnation);
+                         const std::string& incarnation, double max_warm_up_overage);
 
     /// Called when another instance saw a server crash.
     std::function<void(std::uint64_t server)> on_crash_elsewhere;
@@ -60,7 +61,10 @@
     /// Records the limit, or none, that an answer of the server names. `sent_at`: of its request.
     void record_limit(const server_entry& server, std::optional<double> per_s, time_ms sent_at);
 
-    /// Returns whether the server's limit leaves this instance a request now.
+    /// Limits the requests to the servers of a domain that may have become cold while evacuated.
+    void record_evacuation_end(const std::string& domain);
+
+    /// Returns whether the server's limits leave this instance a request now.
     [[nodiscard]] bool may_send(const server_entry& server) const;
 
     /// Counts a request to the server.
@@ -98,6 +102,8 @@
     prompt_quarantine quarantine_;
     fleet_rate_limiter limiter_;
     std::map<std::uint64_t, std::optional<std::int64_t>> limits_in_use_; ///< by server
+    warm_up_limiter warm_ups_;
+    fleet_config_ptr config_; ///< whose services warm_ups_ knows
     notice_exchange exchange_;
     bool evaluation_scheduled_{false};
     std::vector<quarantine_notice> saved_; ///< in this instance's row of the store
--- a/modules/gateway/fleet_view.cpp
+++ b/modules/gateway/fleet_view.cpp
@@ -4,6 +4,7 @@
 #include "platform/server_codec.h"
 #include "platform/wire_names.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -16,6 +17,9 @@
 /// Interval of this instance's heartbeat, and delay between reads of the others' heartbeats.
 constexpr time_ms heartbeat_interval{1000};
 constexpr time_ms heartbeat_poll_delay{700};
+/// Age of the last stored heartbeat from which on other instances may soon count this one as gone,
+/// which they do after 3.5 s. The rest allows for callers that look every 500 ms.
+constexpr time_ms max_confirmed_heartbeat_age{2500};
 /// Time after the first listing of the heartbeats in which all instances that started together have
 /// published theirs.
 constexpr time_ms settling_time{2000};
@@ -147,6 +151,12 @@
     return counts().live < digest_min_instances_ || counts().self_listed;
 }
 
+bool fleet_view::is_counted_by_others() const
+{
+    return is_settled() && confirmed_heartbeat_at_ &&
+           loop_.now() - *confirmed_heartbeat_at_ < max_confirmed_heartbeat_age;
+}
+
 bool fleet_view::is_live(const std::string& incarnation) const
 {
     return !reachable_ || instances_.is_live(incarnation, loop_.now());
@@ -229,6 +239,11 @@
     metrics_.count("evacuations_ended", static_cast<std::int64_t>(changed.ended.size()));
     log_each("evacuation_begun", changed.begun);
     log_each("evacuation_ended", changed.ended);
+    for (const auto& domain : changed.ended) {
+        if (on_evacuation_ended) {
+            on_evacuation_ended(domain);
+        }
+    }
 }
 
 void fleet_view::apply_config(const stored_row& stored)
@@ -260,7 +275,8 @@
     std::vector<server_entry> entries;
     for (const auto& stored : rows) {
         const auto id = split_row_name(stored.row.key).key;
-        if (auto entry = decode_server(id, stored.row.value); entry && !stored.deleted) {
+        if (auto entry = decode_server(id, stored.row.value, server_rows_.read_at());
+            entry && !stored.deleted) {
             entries.push_back(std::move(entry).value());
         }
     }
@@ -274,18 +290,21 @@
         const auto id = split_row_name(stored.row.key).key;
         log_fields fields;
         fields.add("server", id).add("row_version", stored.row.version);
-        auto entry =
-            stored.deleted ? result<server_entry>{failure{}} : decode_server(id, stored.row.value);
+        auto entry = stored.deleted ? result<server_entry>{failure{}}
+                                    : decode_server(id, stored.row.value, server_rows_.read_at());
         if (!entry) {
             servers_.remove(id, loop_.now());
             log_.write("server_gone", fields.add("why", entry.error().message), loop_.now());
             continue;
         }
         const auto* const known = servers_.find(id);
-        const bool unchanged = known != nullptr && known->entry == *entry;
-        fields.add("leaving", static_cast<int>(entry->leaving)).add("address", entry->address);
-        servers_.put(std::move(entry).value(), loop_.now());
-        if (!unchanged) {
+        const auto before = known == nullptr ? server_entry{} : known->entry;
+        servers_.put(*entry, loop_.now());
+        if (servers_.find(id)->entry != before) {
+            const auto cold_for = entry->cold_until - server_rows_.read_at();
+            fields.add("leaving", static_cast<int>(entry->leaving))
+                .add("address", entry->address)
+                .add("cold_for_ms", std::max(cold_for, time_ms{}));
             log_.write("server", fields, loop_.now());
         }
     }
@@ -549,8 +568,11 @@
     }
     store_.commit(
         {{}, {{heartbeat_key(own_heartbeat_.instance), encode_heartbeat(own_heartbeat_)}}, {}},
-        [this](const store_commit& /*outcome*/) {
+        [this, sent_at = loop_.now()](const store_commit& commit) {
             heartbeat_in_flight_ = false;
+            if (commit.outcome.outcome == commit_outcome::committed) {
+                confirmed_heartbeat_at_ = sent_at;
+            }
             if (std::exchange(publish_again_, false)) {
                 publish_heartbeat();
             }
--- a/modules/gateway/fleet_view.h
+++ b/modules/gateway/fleet_view.h
@@ -35,6 +35,8 @@
 
     /// Called when the store becomes unreachable or reachable again.
     std::function<void(bool reachable)> on_reachable;
+    /// Called when the evacuation of a failure domain has ended.
+    std::function<void(const std::string& domain)> on_evacuation_ended;
     /// Returns the requests per second that arrive at this instance.
     std::function<std::int64_t()> own_request_rate;
     /// Returns this instance's token demand for its heartbeat.
@@ -66,6 +68,9 @@
     [[nodiscard]] std::vector<std::string> listed_instances() const;
     /// Returns whether this instance is among the notice_peers of others.
     [[nodiscard]] bool is_known_to_others() const;
+    /// Returns whether all other instances that can see this one still count it as live, and this
+    /// one knows them.
+    [[nodiscard]] bool is_counted_by_others() const;
     /// Returns whether an incarnation of another instance is live; true while the store is
     /// unreachable.
     [[nodiscard]] bool is_live(const std::string& incarnation) const;
@@ -134,6 +139,7 @@
     bool publish_again_{false};
     std::optional<time_ms> heartbeats_listed_at_;
     time_ms next_heartbeat_{};
+    std::optional<time_ms> confirmed_heartbeat_at_; ///< when the last one that was stored was sent
 };
 
 } // namespace jujubevalve
--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -135,7 +135,13 @@
         , connections_{loop_}
         , abandoned_{loop_, budgets_, log_}
         , choice_{choice_options(settings_), hash64(incarnation_)}
-        , notices_{loop_, store_, log_, metrics_, settings_.instance, incarnation_}
+        , notices_{loop_,
+                   store_,
+                   log_,
+                   metrics_,
+                   settings_.instance,
+                   incarnation_,
+                   settings_.warm_up_overage}
         , crashes_{loop_, [this](const server_crash& crash) { notices_.record_crash(crash); }}
         , context_{loop_,
                    settings_,
@@ -216,6 +222,9 @@
         notices_.on_crash_elsewhere = [this](std::uint64_t server) {
             view_.servers().avoid_crashed(server, loop_.now());
         };
+        view_.on_evacuation_ended = [this](const std::string& domain) {
+            notices_.record_evacuation_end(domain);
+        };
         view_.own_request_rate = [this] { return request_rate_; };
         view_.own_demand = [this] { return grants_.largest_demand(max_published_accounts); };
         view_.own_shortages = [this] { return grants_.short_accounts(max_published_accounts); };
--- a/modules/gateway/gateway_settings.cpp
+++ b/modules/gateway/gateway_settings.cpp
@@ -33,6 +33,9 @@
 DEFINE_int64(grant_horizon_ms, 10000,
              "demand that a grant covers at least, so that an outage of the store of that length "
              "refuses nobody; twice this is kept at most, 100 to 600000 ms");
+DEFINE_double(warm_up_overage, 1.5,
+              "requests in a second that a cold server may get from the whole fleet, as a multiple "
+              "of the rate that its service names, 1 to 10");
 DEFINE_int64(
     digest_min_instances, 128,
     "live instances from which on two of them publish a digest for the others, 3 to 100000");
@@ -88,6 +91,7 @@
     check_number(check, "link_mbps", FLAGS_link_mbps, 0.1, 1'000'000);
     check_number(check, "store_writes_per_s", FLAGS_store_writes_per_s, 1, 1'000'000);
     check.range("grant_horizon_ms", FLAGS_grant_horizon_ms, 100, 600'000);
+    check_number(check, "warm_up_overage", FLAGS_warm_up_overage, 1, 10);
     check.range("digest_min_instances", FLAGS_digest_min_instances, 3, 100'000);
     return check;
 }
@@ -123,6 +127,7 @@
     settings.capacity = machine_capacity();
     settings.store_writes_per_s = FLAGS_store_writes_per_s;
     settings.grant_horizon = time_ms{FLAGS_grant_horizon_ms};
+    settings.warm_up_overage = FLAGS_warm_up_overage;
     settings.digest_min_instances = FLAGS_digest_min_instances;
     return settings;
 }
--- a/modules/gateway/gateway_settings.h
+++ b/modules/gateway/gateway_settings.h
@@ -27,6 +27,7 @@
     std::int64_t capacity{};             ///< requests per second that this machine can handle
     double store_writes_per_s{};         ///< writes that the store accepts from the whole fleet
     time_ms grant_horizon{};             ///< min duration of demand that a grant covers
+    double warm_up_overage{};            ///< requests in 1 s to a cold server, of those it bears
     std::int64_t digest_min_instances{}; ///< live instances from which on a digest is published
 
     friend bool operator==(const gateway_settings&, const gateway_settings&) = default;
--- a/tests/fuzz/decoder_tests.cpp
+++ b/tests/fuzz/decoder_tests.cpp
@@ -161,7 +161,7 @@
     CHECK(decode_server("s", sample).has_value());
     try_json(sample, [](const std::string& text) {
         if (const auto entry = decode_server("s", text)) {
-            CHECK(entry->slots >= 1 && is_time(entry->warm_up));
+            CHECK(entry->slots >= 1 && is_time(entry->cold_until));
             CHECK(decode_digest_server("s", encode_digest_server(*entry)).has_value());
         }
     });
