A dead instance's heartbeat that is read anew names it to nobody

The row of a killed instance stays in the store. An instance that listed the heartbeats anew, as on the way back from the digest, took it for live and named it to callers for 3.5 s. Heartbeats carry the store's time; the first one read of an instance counts from then.

--- a/modules/dispatch/instance_registry.cpp
+++ b/modules/dispatch/instance_registry.cpp
@@ -20,17 +20,18 @@
 {
 }
 
-void instance_registry::observe(const instance_heartbeat& heartbeat, time_ms now)
+void instance_registry::observe(const instance_heartbeat& heartbeat, time_ms now, time_ms age)
 {
     if (heartbeat.instance == own_instance_) {
         return;
     }
     auto& tracked = peers_[heartbeat.instance];
+    const bool is_first = tracked.heartbeat.incarnation.empty();
     const bool is_new = tracked.heartbeat.incarnation != heartbeat.incarnation ||
                         tracked.heartbeat.number < heartbeat.number ||
                         tracked.heartbeat.serving != heartbeat.serving;
     if (is_new) {
-        tracked = {heartbeat, now};
+        tracked = {heartbeat, is_first ? now - age : now};
     }
 }
 
--- a/modules/dispatch/instance_registry.h
+++ b/modules/dispatch/instance_registry.h
@@ -29,6 +29,7 @@
     std::string relay;         ///< address at which it relays calls to the store; may be empty
     std::string peer_address;  ///< where it takes reservations of other instances; may be empty
     bool takes_notices{false}; ///< takes fleet_notices of other instances there
+    time_ms sent_at{};         ///< by the store's time; 0 if unknown
 
     friend bool operator==(const instance_heartbeat&, const instance_heartbeat&) = default;
 };
@@ -66,7 +67,9 @@
     instance_registry(std::string own_instance, instance_registry_options options);
 
     /// Records a heartbeat row; one that has been seen before does not count as a new sign of life.
-    void observe(const instance_heartbeat& heartbeat, time_ms now);
+    /// `age`: since it was sent. The row of an instance that ended without deleting it stays in the
+    /// store, and is not one when it is read for the first time.
+    void observe(const instance_heartbeat& heartbeat, time_ms now, time_ms age = {});
     void remove(std::string_view instance);
 
     /// Uses the listed instances and the totals of a digest from now on, instead of heartbeats.
--- a/modules/dispatch/tests/dispatch_tests.cpp
+++ b/modules/dispatch/tests/dispatch_tests.cpp
@@ -351,6 +351,23 @@
     CHECK_EQUAL(1U, listed_count());
 }
 
+// Guards against naming instances that ended long ago when all rows are read anew.
+TEST(instance_registry, an_old_heartbeat_that_is_read_for_the_first_time_is_no_sign_of_life)
+{
+    entries.use_digest({heartbeat("b", 0)}, 2, {});
+    entries.use_heartbeats();
+    entries.observe(heartbeat("b", 7), now, time_ms{900});
+    entries.observe(heartbeat("dead", 7), now, seconds(20));
+    CHECK_EQUAL(2U, listed_count());
+    entries.observe(heartbeat("dead", 8), now);
+    CHECK_EQUAL(3U, listed_count());
+    // The others could not renew theirs while the store was unreachable.
+    entries.set_reachable(false, now);
+    entries.set_reachable(true, now);
+    entries.observe(heartbeat("c", 7), now, seconds(20));
+    CHECK_EQUAL(4U, listed_count());
+}
+
 // Guards against sending all callers to one instance while the store is unreachable and no
 // heartbeat can arrive.
 TEST(instance_registry, keeps_all_instances_while_the_store_is_unreachable)
--- a/modules/gateway/fleet_view.cpp
+++ b/modules/gateway/fleet_view.cpp
@@ -317,7 +317,9 @@
         if (stored.deleted) {
             instances_.remove(instance);
         } else if (const auto heartbeat = decode_heartbeat(stored.row.value)) {
-            instances_.observe(*heartbeat, loop_.now());
+            const bool is_dated = heartbeat->sent_at != time_ms{};
+            const auto age = is_dated ? heartbeat_rows_.read_at() - heartbeat->sent_at : time_ms{};
+            instances_.observe(*heartbeat, loop_.now(), std::max(age, time_ms{}));
             if (heartbeat->instance == own_heartbeat_.instance || !on_shortage_elsewhere) {
                 continue;
             }
@@ -516,6 +518,7 @@
                                      heartbeat.short_accounts.end());
         // What changes all the time is summed up in the status.
         heartbeat.number = 0;
+        heartbeat.sent_at = {};
         heartbeat.request_rate = 0;
         heartbeat.demand.clear();
         heartbeat.short_accounts.clear();
@@ -561,6 +564,7 @@
     next_heartbeat_ =
         loop_.now() + (is_unlisted ? unlisted_heartbeat_interval : heartbeat_interval);
     ++own_heartbeat_.number;
+    own_heartbeat_.sent_at = store_.store_time().value_or(time_ms{});
     if (own_demand) {
         own_heartbeat_.demand = own_demand();
         own_heartbeat_.short_accounts = own_shortages();
