The soak evacuates a domain and cools servers; permits lapse sooner

Permits of cold servers last a quarter of a second at an overage of 1.5, so that a quarter of the instances may be counted twice.

--- a/apps/soak/fault_plan.cpp
+++ b/apps/soak/fault_plan.cpp
@@ -22,6 +22,12 @@
 /// The users' bounds on servers that name a limit, and on prompts that crash servers.
 constexpr time_ms contact_time{3000};
 constexpr time_ms limit_window{4000};
+/// The users' bounds on evacuations, and on the requests to a cold server in a second.
+constexpr time_ms evacuation_bound{5000};
+constexpr int max_cold_overage_percent = 150;
+constexpr int cold_slack = 5;
+/// Time in which a change of a registration is read on a calm site.
+constexpr time_ms registration_bound{1000};
 constexpr std::size_t crashes_to_learn_from = 5;
 constexpr std::size_t max_later_requests = 3;
 constexpr time_ms crash_check_time{8000};
@@ -48,6 +54,7 @@
     : site_{deployment}
     , caller_{caller}
     , random_{static_cast<std::minstd_rand::result_type>(seed * 7919 + 1)}
+    , random_of_exclusions_{static_cast<std::minstd_rand::result_type>(seed * 6007 + 1)}
 {
 }
 
@@ -118,6 +125,37 @@
 std::string fault_plan::step()
 {
     undo_due();
+    return exclusion() + next_fault();
+}
+
+// At times a domain is evacuated, or a server is cold, besides. Drawn apart, so that the other
+// faults of a seed stay what they were.
+std::string fault_plan::exclusion()
+{
+    const auto draw_apart = [this](int low, int high) {
+        return std::uniform_int_distribution<int>{low, high}(random_of_exclusions_);
+    };
+    const auto time = ms(draw_apart(500, 6000));
+    switch (draw_apart(0, 9)) {
+    case 0:
+        site_.evacuate(evacuated_domain);
+        later(time, [this] { site_.evacuate(evacuated_domain, false); });
+        return "evacuation, ";
+    case 1: {
+        auto& all = site_.servers();
+        auto& item = all[static_cast<std::size_t>(draw_apart(0, static_cast<int>(all.size()) - 1))];
+        item.cold_for = time;
+        site_.announce(item);
+        item.cold_for = {}; // for later registrations
+        return "cold " + item.server->id() + ", ";
+    }
+    default:
+        return {};
+    }
+}
+
+std::string fault_plan::next_fault()
+{
     if (!site_.faulty_servers().empty() && draw(0, 3) == 0) {
         return wire_fault();
     }
@@ -382,6 +420,57 @@
     server.limit_per_1000_s = 0;
 }
 
+void fault_plan::check_evacuation()
+{
+    const auto requests = [this] {
+        int sum = 0;
+        for (const auto& item : site_.servers()) {
+            sum += item.failure_domain == evacuated_domain ? item.server->requests() : 0;
+        }
+        return sum;
+    };
+    const auto sent_in = [&](time_ms time) {
+        const auto before = requests();
+        wait(time);
+        return requests() - before;
+    };
+    site_.evacuate(evacuated_domain);
+    wait(evacuation_bound);
+    if (const auto sent = sent_in(seconds(2)); sent > 0) {
+        violations_.push_back(std::to_string(sent) + " requests reached an evacuated domain");
+    }
+    site_.evacuate(evacuated_domain, false);
+    wait(evacuation_bound);
+    if (sent_in(seconds(2)) == 0) {
+        violations_.push_back("no request reaches a domain whose evacuation was taken back");
+    }
+}
+
+void fault_plan::check_cold_server()
+{
+    auto& item = site_.servers().front();
+    item.cold_for = seconds(6);
+    site_.announce(item);
+    wait(registration_bound);
+    item.server->take_arrivals();
+    wait(seconds(4));
+    const auto arrivals = item.server->take_arrivals();
+    item.cold_for = {};
+    site_.announce(item);
+    const auto limit = site_.options().cold_limit_per_s * max_cold_overage_percent / 100;
+    for (const auto first : arrivals) {
+        const auto in_second = std::count_if(arrivals.begin(), arrivals.end(), [&](time_ms at) {
+            return at >= first && at - first < seconds(1);
+        });
+        if (in_second > limit + cold_slack) {
+            violations_.push_back("the cold " + item.server->id() + " got " +
+                                  std::to_string(in_second) + " requests in a second; it bears " +
+                                  std::to_string(limit + cold_slack));
+            break;
+        }
+    }
+}
+
 void fault_plan::check_crashing_prompts()
 {
     constexpr std::uint64_t fresh_block = 0xbad; // no quarantine of before is in force for it
@@ -437,6 +526,8 @@
         }
     }
     check_server_limit();
+    check_evacuation();
+    check_cold_server();
     check_crashing_prompts();
     // Streams that began before a stop end whole.
     auto& stopping = site_.gateways().front();
--- a/apps/soak/fault_plan.h
+++ b/apps/soak/fault_plan.h
@@ -46,6 +46,9 @@
     [[nodiscard]] const std::vector<std::string>& violations() const { return violations_; }
 
 private:
+    /// Failure domain that the operator evacuates at times.
+    static constexpr const char* evacuated_domain = "b";
+
     struct open_fault {
         time_ms until{};
         std::function<void()> undo;
@@ -59,6 +62,8 @@
     site::site_server& any_server();
     void later(time_ms after, std::function<void()> undo);
     void restart(site::site_gateway& gateway);
+    std::string exclusion();
+    std::string next_fault();
     std::string process_fault();
     std::string store_fault();
     std::string peer_fault();
@@ -69,10 +74,15 @@
     void check_crashing_prompts();
     /// Checks that the gateways together keep to the limit that a server names.
     void check_server_limit();
+    /// Checks that nothing reaches a failure domain that is evacuated.
+    void check_evacuation();
+    /// Checks that the gateways together keep to what a cold server bears.
+    void check_cold_server();
 
     site::site& site_;
     site::site_caller& caller_;
     std::minstd_rand random_;
+    std::minstd_rand random_of_exclusions_;
     std::vector<open_fault> open_;
     std::vector<std::string> violations_;
 };
--- a/apps/soak/main.cpp
+++ b/apps/soak/main.cpp
@@ -40,6 +40,8 @@
     made.prepaid = FLAGS_prepaid;
     made.chat_attempts = static_cast<int>(FLAGS_chat_attempts);
     made.faulty_servers = static_cast<int>(FLAGS_faulty_servers);
+    made.failure_domains = 2;
+    made.cold_limit_per_s = 4;
     made.log_folder = FLAGS_logs.empty() ? (std::filesystem::temp_directory_path() /
                                             ("jujubevalve-soak-" + std::to_string(FLAGS_seed)))
                                                .string()
--- a/modules/dispatch/tests/warm_up_limiter_tests.cpp
+++ b/modules/dispatch/tests/warm_up_limiter_tests.cpp
@@ -150,10 +150,10 @@
 // Guards against permits that are given away twice while instances disagree on who is alive.
 TEST(warm_up_limiter, stays_within_it_while_instances_disagree_on_who_is_alive)
 {
-    for (const std::size_t size : {8, 76, 300}) {
+    for (const std::size_t size : {3, 4, 8, 76, 300}) {
         for (const time_ms pause : {time_ms{0}, seconds(1)}) {
             fleet instances{size, 9700};
-            instances.disagree(size / 8);
+            instances.disagree(std::max<std::size_t>(1, size / 4));
             const auto sent = instances.run(pause);
             CHECK(static_cast<double>(most_in_a_second(sent)) <= instances.allowed());
         }
--- a/modules/dispatch/warm_up_limiter.cpp
+++ b/modules/dispatch/warm_up_limiter.cpp
@@ -20,11 +20,11 @@
 constexpr time_ms min_permit_validity{50};
 
 // A window of one second holds the permits of that second and those that were still valid at its
-// beginning.
+// beginning. Half of the overage is left for permits that instances which disagree give away twice.
 time_ms permit_validity_for(double max_overage)
 {
     return std::max(min_permit_validity,
-                    time_ms{static_cast<std::int64_t>((max_overage - 1) * 1000)});
+                    time_ms{static_cast<std::int64_t>((max_overage - 1) * 500)});
 }
 
 // Incarnations share their server's permits.
--- a/modules/standins/site/site.cpp
+++ b/modules/standins/site/site.cpp
@@ -39,12 +39,13 @@
     publish();
     servers_.reserve(static_cast<std::size_t>(options.engines) +
                      static_cast<std::size_t>(options.plain_servers));
-    const auto add = [&](const std::string& id, const char* service) {
+    const auto add = [&](const std::string& id, const char* service, int number) {
         site_server made;
         made.server =
             std::make_unique<server_standin>(id, tracker_, options.seed + servers_.size());
         made.path = std::make_unique<tcp_relay>(made.server->address());
         made.service = service;
+        made.failure_domain = static_cast<char>('a' + number % options.failure_domains);
         announce(made);
         servers_.push_back(std::move(made));
         auto& added = servers_.back();
@@ -55,10 +56,10 @@
         added.server->crash = [this, &added] { crash(added); };
     };
     for (int i = 0; i < options.engines; ++i) {
-        add("engine-" + std::to_string(i), engine_service);
+        add("engine-" + std::to_string(i), engine_service, i);
     }
     for (int i = 0; i < options.plain_servers; ++i) {
-        add("plain-" + std::to_string(i), "orders");
+        add("plain-" + std::to_string(i), "orders", i);
     }
     for (int i = 0; i < options.faulty_servers; ++i) {
         for (const auto* const service : {engine_service, "orders"}) {
@@ -185,22 +186,22 @@
 namespace
 {
 json registration(const std::string& service, const std::string& address, const std::string& domain,
-                  bool leaving, std::int64_t incarnation)
+                  std::int64_t incarnation)
 {
-    return {
-        {"service", service},  {"address", address},    {"zone", domain},
-        {"version", "v1"},     {"max-concurrency", 64}, {"state", leaving ? "draining" : "ready"},
-        {"warmup-left-ms", 0}, {"sequence", 1},         {"born", incarnation}};
+    return {{"service", service},  {"address", address},    {"zone", domain},
+            {"version", "v1"},     {"max-concurrency", 64}, {"state", "ready"},
+            {"warmup-left-ms", 0}, {"sequence", 1},         {"born", incarnation}};
 }
 } // namespace
 
 void site::announce(site_server& server, bool leaving)
 {
     server.registered = true;
-    store_.rows().put("servers", server.server->id(),
-                      registration(server.service, server.path->address(), server.failure_domain,
-                                   leaving, server.incarnation)
-                          .dump());
+    auto entry = registration(server.service, server.path->address(), server.failure_domain,
+                              server.incarnation);
+    entry["state"] = leaving ? "draining" : "ready";
+    entry["warmup-left-ms"] = server.cold_for.count();
+    store_.rows().put("servers", server.server->id(), entry.dump());
 }
 
 void site::evacuate(const std::string& domain, bool evacuated)
@@ -214,8 +215,7 @@
         const auto& server = *faulty_servers_[i];
         const auto* const service = i % 2 == 0 ? engine_service : "orders";
         store_.rows().put("servers", server.id(),
-                          present ? registration(service, server.address(), "a", false, 1).dump()
-                                  : "");
+                          present ? registration(service, server.address(), "a", 1).dump() : "");
     }
 }
 
@@ -249,8 +249,14 @@
          {{{"name", "models"},
            {"health-path", "/healthz"},
            {"max-connections", 100},
+           {"warmup-s", 3.0},
+           {"warmup-per-s", options_.cold_limit_per_s},
            {"engine", {{"max-concurrency", 64}, {"kv-capacity-tokens", 300000}, {"stride", 3}}}},
-          {{"name", "orders"}, {"health-path", "/healthz"}, {"max-connections", 100}}}},
+          {{"name", "orders"},
+           {"health-path", "/healthz"},
+           {"max-connections", 100},
+           {"warmup-s", 3.0},
+           {"warmup-per-s", options_.cold_limit_per_s}}}},
         {"limits", json::object()},
         {"tenants", std::move(accounts)}};
     store_.rows().put("op", "config", config.dump());
--- a/modules/standins/site/site.h
+++ b/modules/standins/site/site.h
@@ -30,6 +30,8 @@
     std::uint64_t seed{1};
     std::string log_folder{"/tmp"};
     int digest_min_instances{128};
+    int failure_domains{1};  ///< over which the servers of each service are spread: a, b, ...
+    int cold_limit_per_s{0}; ///< requests that a cold server bears; 0: services name no limit
 };
 
 /// A gateway process and the relay between it and the store.
@@ -53,7 +55,8 @@
     bool registered{false};
     std::int64_t incarnation{1};
     bool is_down{false}; ///< crashed and not back yet
-    std::string failure_domain{"a"};
+    std::string failure_domain;
+    time_ms cold_for{}; ///< that its registration names
 };
 
 /// What requests with a block that crashes servers did.
--- a/tests/gateway/evacuation_tests.cpp
+++ b/tests/gateway/evacuation_tests.cpp
@@ -33,15 +33,9 @@
         options.gateways = 2;
         options.engines = 2;
         options.plain_servers = 2;
+        options.failure_domains = 2;
         fleet = std::make_unique<deployment>(options);
         caller = std::make_unique<site_caller>(*fleet);
-        int engines = 0;
-        int others = 0;
-        for (auto& server : fleet->servers()) {
-            auto& count = server.service == fleet->servers().front().service ? engines : others;
-            server.failure_domain = count++ == 0 ? "a" : "b";
-            fleet->announce(server);
-        }
         for (const auto& gateway : fleet->gateways()) {
             CHECK(fleet->wait_ready(gateway));
         }
