Load reports of servers on shared machines are read; unreadable inputs are counted

Servers that share their machines with others report a fourth figure, how long work takes there now. A report was taken only with exactly three figures, so those of whole services were dropped without a trace. Both forms are decoded. A load report, rate limit, server registration or heartbeat that cannot be decoded is counted (unreadable_inputs) and logged with its text, once a minute for each field. The fourth figure does not enter the choice of a server yet.

--- a/modules/dispatch/call_request.h
+++ b/modules/dispatch/call_request.h
@@ -56,10 +56,23 @@
     std::int64_t running{0};
     std::int64_t waiting{0};
     std::int64_t slots{0};
+    /// How long work takes at the server now, in percent of its usual time. Servers that share
+    /// their machines with others report it; it changes many times a second.
+    std::int64_t slowness_percent{usual_slowness_percent};
+
+    static constexpr std::int64_t usual_slowness_percent = 100;
 
     friend bool operator==(const server_load&, const server_load&) = default;
 };
 
+/// A header whose value cannot be decoded.
+struct unreadable_header {
+    std::string name;
+    std::string value;
+
+    friend bool operator==(const unreadable_header&, const unreadable_header&) = default;
+};
+
 /// Status and headers of a server's response, as far as the gateway uses them.
 struct server_response {
     int status{0};
@@ -72,6 +85,7 @@
     std::optional<server_load> load;
     /// Requests per second that the server takes from all instances together.
     std::optional<double> rate_limit;
+    std::vector<unreadable_header> unreadable; ///< headers that count as absent
 
     friend bool operator==(const server_response&, const server_response&) = default;
 };
--- a/modules/gateway/call_context.h
+++ b/modules/gateway/call_context.h
@@ -14,6 +14,7 @@
 #include "gateway/server_connections.h"
 #include "gateway/server_crash_detector.h"
 #include "gateway/stop_sequence.h"
+#include "gateway/unreadable_inputs.h"
 #include "net/event_loop.h"
 
 #include <map>
@@ -42,6 +43,8 @@
     std::int64_t calls{0};                                                ///< calls received so far
     std::optional<stop_in_progress> stopping{};                           ///< since the stop signal
 
+    unreadable_inputs unreadable{log, metrics}; ///< headers of servers that cannot be decoded
+
     /// Memory for responses that are buffered until they are complete. Below a fifth of the
     /// smallest machine's, as a response is copied twice on its way to the caller.
     static constexpr std::size_t response_memory_bytes = 16 * 1024 * 1024;
--- a/modules/gateway/call_response.cpp
+++ b/modules/gateway/call_response.cpp
@@ -50,6 +50,9 @@
 bool call::on_response_head(const http_head& head)
 {
     auto response = decode_response(head);
+    for (const auto& header : response.unreadable) {
+        context_.unreadable.record(header.name, server_id_, header.value, context_.loop.now());
+    }
     if (response.request_id && *response.request_id != request_.id) {
         context_.metrics.count("answers_to_other_requests");
         context_.log.write("stray_answer",
--- a/modules/gateway/fleet_view.cpp
+++ b/modules/gateway/fleet_view.cpp
@@ -59,6 +59,7 @@
     , store_{store}
     , log_{log}
     , metrics_{metrics}
+    , unreadable_{log, metrics}
     , instances_{settings.instance, instance_registry_options{}}
     , config_rows_{loop,
                    store,
@@ -202,12 +203,24 @@
     }
 }
 
+result<server_entry> fleet_view::read_server(const stored_row& stored)
+{
+    if (stored.deleted) {
+        return failure{};
+    }
+    const auto id = split_row_name(stored.row.key).key;
+    auto entry = decode_server(id, stored.row.value);
+    if (!entry) {
+        unreadable_.record("server registration", id, entry.error().message, loop_.now());
+    }
+    return entry;
+}
+
 void fleet_view::replace_servers(const std::vector<stored_row>& rows)
 {
     std::vector<server_entry> entries;
     for (const auto& stored : rows) {
-        const auto id = split_row_name(stored.row.key).key;
-        if (auto entry = decode_server(id, stored.row.value); entry && !stored.deleted) {
+        if (auto entry = read_server(stored)) {
             entries.push_back(std::move(entry).value());
         }
     }
@@ -221,8 +234,7 @@
         const auto id = split_row_name(stored.row.key).key;
         log_fields fields;
         fields.add("server", id).add("row_version", stored.row.version);
-        auto entry =
-            stored.deleted ? result<server_entry>{failure{}} : decode_server(id, stored.row.value);
+        auto entry = read_server(stored);
         if (!entry) {
             servers_.remove(id, loop_.now());
             log_.write("server_gone", fields.add("why", entry.error().message), loop_.now());
@@ -244,7 +256,9 @@
         const auto instance = split_row_name(stored.row.key).key;
         if (stored.deleted) {
             instances_.remove(instance);
-        } else if (const auto heartbeat = decode_heartbeat(stored.row.value)) {
+        } else if (const auto heartbeat = decode_heartbeat(stored.row.value); !heartbeat) {
+            unreadable_.record("heartbeat", instance, heartbeat.error().message, loop_.now());
+        } else {
             instances_.observe(*heartbeat, loop_.now());
             if (heartbeat->instance == own_heartbeat_.instance || !on_shortage_elsewhere) {
                 continue;
--- a/modules/gateway/fleet_view.h
+++ b/modules/gateway/fleet_view.h
@@ -9,6 +9,7 @@
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/table_follower.h"
+#include "gateway/unreadable_inputs.h"
 #include "net/event_loop.h"
 #include "platform/store_client.h"
 
@@ -85,6 +86,8 @@
     void apply_config(const std::vector<stored_row>& rows);
     void replace_servers(const std::vector<stored_row>& rows);
     void update_servers(const std::vector<stored_row>& rows);
+    /// Decodes a row of the server registry. Fails also if the row is deleted.
+    [[nodiscard]] result<server_entry> read_server(const stored_row& stored);
     void apply_heartbeats(const std::vector<stored_row>& rows);
     void apply_digest_server(const std::string& id, const std::optional<std::string>& content);
     void apply_digest();
@@ -106,6 +109,7 @@
     store_client& store_;
     decision_log& log_;
     gateway_metrics& metrics_;
+    unreadable_inputs unreadable_;
     instance_heartbeat own_heartbeat_;
     fleet_config_ptr config_;
     server_directory servers_;
