--- a/modules/gateway/fleet_view.cpp
+++ b/modules/gateway/fleet_view.cpp
@@ -64,6 +64,7 @@
     , store_{store}
     , log_{log}
     , metrics_{metrics}
+    , unreadable_{log, metrics}
     , instances_{settings.instance, instance_registry_options{}}
     , operator_rows_{loop,
                      store,
@@ -270,13 +271,24 @@
     }
 }
 
+result<server_entry> fleet_view::read_server(const stored_row& stored)
+{
+    if (stored.deleted) {
+        return failure{};
+    }
+    const auto id = split_row_name(stored.row.key).key;
+    auto entry = decode_server(id, stored.row.value, server_rows_.read_at());
+    if (!entry) {
+        unreadable_.record("server registration", id, entry.error().message, loop_.now());
+    }
+    return entry;
+}
+
 void fleet_view::replace_servers(const std::vector<stored_row>& rows)
 {
     std::vector<server_entry> entries;
     for (const auto& stored : rows) {
-        const auto id = split_row_name(stored.row.key).key;
-        if (auto entry = decode_server(id, stored.row.value, server_rows_.read_at());
-            entry && !stored.deleted) {
+        if (auto entry = read_server(stored)) {
             entries.push_back(std::move(entry).value());
         }
     }
@@ -290,8 +302,7 @@
         const auto id = split_row_name(stored.row.key).key;
         log_fields fields;
         fields.add("server", id).add("row_version", stored.row.version);
-        auto entry = stored.deleted ? result<server_entry>{failure{}}
-                                    : decode_server(id, stored.row.value, server_rows_.read_at());
+        auto entry = read_server(stored);
         if (!entry) {
             servers_.remove(id, loop_.now());
             log_.write("server_gone", fields.add("why", entry.error().message), loop_.now());
@@ -316,7 +327,9 @@
         const auto instance = split_row_name(stored.row.key).key;
         if (stored.deleted) {
             instances_.remove(instance);
-        } else if (const auto heartbeat = decode_heartbeat(stored.row.value)) {
+        } else if (const auto heartbeat = decode_heartbeat(stored.row.value); !heartbeat) {
+            unreadable_.record("heartbeat", instance, heartbeat.error().message, loop_.now());
+        } else {
             const bool is_dated = heartbeat->sent_at != time_ms{};
             const auto age = is_dated ? heartbeat_rows_.read_at() - heartbeat->sent_at : time_ms{};
             instances_.observe(*heartbeat, loop_.now(), std::max(age, time_ms{}));
