--- a/modules/net/event_loop.h
+++ b/modules/net/event_loop.h
@@ -35,6 +35,14 @@
     friend bool operator==(const event_interest&, const event_interest&) = default;
 };
 
+/// Bytes that the streams of an event loop have exchanged with their sockets since the start.
+struct traffic_totals {
+    std::int64_t received{0};
+    std::int64_t sent{0};
+
+    friend bool operator==(const traffic_totals&, const traffic_totals&) = default;
+};
+
 /// Runs I/O handlers (on an ACE reactor), steady-clock timers and deferred tasks on the thread that
 /// calls run(). Not thread-safe.
 class event_loop
@@ -67,6 +75,11 @@
     /// Returns the maximum number of descriptors that can be watched at the same time.
     [[nodiscard]] static std::size_t capacity();
 
+    /// Returns the bytes that the streams have exchanged with their sockets.
+    [[nodiscard]] const traffic_totals& traffic() const { return traffic_; }
+    void count_received(std::size_t bytes) { traffic_.received += static_cast<std::int64_t>(bytes); }
+    void count_sent(std::size_t bytes) { traffic_.sent += static_cast<std::int64_t>(bytes); }
+
     /// Runs until stop() is called.
     void run();
 
@@ -76,6 +89,7 @@
 private:
     class impl;
     std::unique_ptr<impl> impl_;
+    traffic_totals traffic_;
 };
 
 } // namespace jujubevalve
--- a/modules/net/tcp_stream.cpp
+++ b/modules/net/tcp_stream.cpp
@@ -6,6 +6,7 @@
 #include <ace/OS_NS_unistd.h>
 #include <ace/SOCK_Connector.h>
 #include <ace/SOCK_Stream.h>
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <netinet/in.h>
@@ -129,6 +130,7 @@
     if (connected_ && pending() == 0) {
         const auto n = ACE_OS::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
         if (n > 0) {
+            loop_.count_sent(static_cast<std::size_t>(n));
             bytes.remove_prefix(static_cast<std::size_t>(n));
         }
         // If send() failed, the next read reports the error.
@@ -231,6 +233,7 @@
     static thread_local std::array<char, receive_buffer_bytes> buffer;
     const auto n = ACE_OS::recv(descriptor_, buffer.data(), buffer.size(), 0);
     if (n > 0) {
+        loop_.count_received(static_cast<std::size_t>(n));
         listener_->on_received({buffer.data(), static_cast<std::size_t>(n)});
         return;
     }
@@ -272,7 +275,9 @@
             end(stream_end::reset);
             return false;
         }
-        sent_bytes_ += n > 0 ? static_cast<std::size_t>(n) : 0;
+        const auto sent = static_cast<std::size_t>(std::max<ssize_t>(n, 0));
+        loop_.count_sent(sent);
+        sent_bytes_ += sent;
         if (pending() > 0) {
             // A peer that never catches up would otherwise make the buffer grow without end.
             if (sent_bytes_ >= pending()) {
