An instance lets requests in as fast as its link and processor take them

Cause: callers send their requests as soon as their connections are accepted, at once. At a link that is full for its callers' bodies, what servers answer waits behind these for seconds: connects time out, answers come late, and callers send their requests again. Change: connections are accepted only as far as the link and the processor can take their requests (entry_admission); the others wait in a short listen queue, where they cost no bytes.

--- a/modules/gateway/call.cpp
+++ b/modules/gateway/call.cpp
@@ -30,6 +30,8 @@
 /// Max size of a response that is buffered until it is complete.
 constexpr std::size_t max_buffered_response_bytes = 8 * 1024 * 1024;
 constexpr int default_priority = 5;
+/// Bytes that the heads of a request and of the server's answer have, about.
+constexpr std::int64_t head_bytes_of_request_and_answer = 800;
 /// An answer that has gone on for this long after its first event has not crashed its server.
 constexpr time_ms sound_answer_age{250};
 /// Max events that a server may have sent without their being relayed when a stream was aborted.
@@ -466,6 +468,8 @@
     }
     settle();
     const auto now = context_.loop.now();
+    context_.entry.request_ended(static_cast<std::int64_t>(body_.size() + to_caller_.sent_bytes()) +
+                                 head_bytes_of_request_and_answer);
     context_.metrics.count("answers_" + std::to_string(status));
     if (to_caller_.progress() == response_progress::broken_off) {
         context_.metrics.count("responses_broken_off");
--- a/modules/gateway/call_context.h
+++ b/modules/gateway/call_context.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "core/limited_buffer.h"
+#include "dispatch/entry_admission.h"
 #include "dispatch/fleet_retry_budget.h"
+#include "dispatch/link_budget.h"
 #include "dispatch/retry_advisor.h"
 #include "dispatch/server_choice.h"
 #include "gateway/abandoned_request_tracker.h"
@@ -38,6 +40,8 @@
     fleet_notice_service& notices;
     std::minstd_rand random;
     retry_advisor retry_advice;
+    link_budget& link;
+    entry_admission& entry;
     std::map<std::string, fleet_retry_budget, std::less<>> retry_budgets; ///< by service name
     std::int64_t calls{0};                                                ///< calls received so far
     std::optional<stop_in_progress> stopping{};                           ///< since the stop signal
--- a/modules/gateway/front_connection.cpp
+++ b/modules/gateway/front_connection.cpp
@@ -145,6 +145,9 @@
 {
     head_ = std::move(head);
     is_head_request_ = head_.method == "HEAD";
+    if (std::exchange(has_had_request_, true)) {
+        context_.entry.admitted(context_.loop.now()); // the first one was with its connection
+    }
     body_.clear();
     context_.loop.cancel(timer_);
     timer_ = context_.loop.schedule(body_timeout, [this] {
--- a/modules/gateway/front_connection.h
+++ b/modules/gateway/front_connection.h
@@ -81,6 +81,7 @@
     limited_buffer body_;
     bool is_head_request_{false}; ///< the request being read or answered is a HEAD request
     bool request_complete_{false};
+    bool has_had_request_{false};
     bool rejected_{false};
     bool parsing_{false};
     bool ends_with_close_{false};
--- a/modules/gateway/front_server.cpp
+++ b/modules/gateway/front_server.cpp
@@ -23,6 +23,24 @@
 {
 }
 
+void front_server::limit_entry(entry_admission& admission)
+{
+    admission_ = &admission;
+    listener_.limit([this](int most) { return entry_room(most); }, admission.backlog());
+}
+
+int front_server::entry_room(int most)
+{
+    const auto now = context_.loop.now();
+    admission_->observe(context_.loop.traffic().received, now);
+    const int room = admission_->room(most, now);
+    if (room == 0) {
+        context_.metrics.count("entry_pauses");
+        context_.loop.schedule(admission_->room_expected_in(now), [this] { listener_.resume(); });
+    }
+    return room;
+}
+
 status front_server::open(const std::string& address)
 {
     return listener_.open(address);
@@ -35,6 +53,9 @@
         ::close(descriptor);
         return;
     }
+    if (admission_ != nullptr) {
+        admission_->admitted(context_.loop.now());
+    }
     const auto id = ++last_id_;
     connections_.emplace(id, std::make_unique<front_connection>(
                                  context_, descriptor, local_handler_, close_after_response_,
--- a/modules/gateway/front_server.h
+++ b/modules/gateway/front_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/entry_admission.h"
 #include "gateway/front_connection.h"
 #include "net/tcp_listener.h"
 
@@ -20,6 +21,9 @@
     front_server(call_context& context, local_handler handler,
                  std::function<bool()> close_after_response);
 
+    /// Lets requests in only as fast as this machine can handle them. Call it before open().
+    void limit_entry(entry_admission& admission);
+
     /// Fails with `invalid_setting`.
     [[nodiscard]] status open(const std::string& address);
 
@@ -37,11 +41,14 @@
 
 private:
     void accept(int descriptor);
+    /// Returns how many connections may be accepted now.
+    [[nodiscard]] int entry_room(int most);
 
     call_context& context_;
     local_handler local_handler_;
     std::function<bool()> close_after_response_;
     tcp_listener listener_;
+    entry_admission* admission_{nullptr}; ///< null: no limit
     std::unordered_map<std::uint64_t, std::unique_ptr<front_connection>> connections_;
     std::uint64_t last_id_{0};
 };
--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -137,6 +137,8 @@
         , choice_{choice_options(settings_), hash64(incarnation_)}
         , notices_{loop_, store_, log_, metrics_, settings_.instance, incarnation_}
         , crashes_{loop_, [this](const server_crash& crash) { notices_.record_crash(crash); }}
+        , link_{settings_.link_mbps}
+        , entry_{{link_.bytes_per_ms(), settings_.cpu_requests_per_s / 1000}}
         , context_{loop_,
                    settings_,
                    log_,
@@ -151,6 +153,8 @@
                    std::minstd_rand{
                        static_cast<std::minstd_rand::result_type>(hash64(incarnation_))},
                    retry_advisor{hash64("retries of " + incarnation_)},
+                   link_,
+                   entry_,
                    {},
                    0}
         , caller_server_{context_, [](const http_head&, bool) { return std::nullopt; },
@@ -181,6 +185,7 @@
              {&readiness_server_, settings_.readiness_listen},
              {&directory_server_, settings_.directory_listen},
              {&metrics_server_, settings_.metrics_listen}}};
+        caller_server_.limit_entry(entry_);
         for (const auto& [server, address] : servers) {
             if (address.empty()) {
                 continue;
@@ -276,6 +281,7 @@
     void run_maintenance()
     {
         update_request_rate();
+        entry_.observe(loop_.traffic().received, loop_.now());
         update_serving();
         connections_.close_idle();
         const auto fleet = view_.counts();
@@ -408,6 +414,8 @@
     server_choice choice_;
     fleet_notice_service notices_;
     server_crash_detector crashes_;
+    link_budget link_;
+    entry_admission entry_;
     call_context context_;
     front_server caller_server_;
     front_server readiness_server_;
--- a/modules/gateway/gateway_settings.h
+++ b/modules/gateway/gateway_settings.h
@@ -25,6 +25,8 @@
     time_ms stop_limit{};         ///< max time from SIGTERM to the end of the process
     fleet_retry_limit retry_limit;
     std::int64_t capacity{};             ///< requests per second that this machine can handle
+    double link_mbps{};                  ///< speed of this machine's link, in each direction
+    double cpu_requests_per_s{};         ///< requests per second that its processor can handle
     double store_writes_per_s{};         ///< writes that the store accepts from the whole fleet
     time_ms grant_horizon{};             ///< min duration of demand that a grant covers
     std::int64_t digest_min_instances{}; ///< live instances from which on a digest is published
--- a/modules/net/event_loop.h
+++ b/modules/net/event_loop.h
@@ -77,7 +77,10 @@
 
     /// Returns the bytes that the streams have exchanged with their sockets.
     [[nodiscard]] const traffic_totals& traffic() const { return traffic_; }
-    void count_received(std::size_t bytes) { traffic_.received += static_cast<std::int64_t>(bytes); }
+    void count_received(std::size_t bytes)
+    {
+        traffic_.received += static_cast<std::int64_t>(bytes);
+    }
     void count_sent(std::size_t bytes) { traffic_.sent += static_cast<std::int64_t>(bytes); }
 
     /// Runs until stop() is called.
--- a/modules/net/tcp_listener.cpp
+++ b/modules/net/tcp_listener.cpp
@@ -21,6 +21,7 @@
 tcp_listener::tcp_listener(event_loop& loop, accept_handler handler)
     : loop_{loop}
     , handler_{std::move(handler)}
+    , backlog_{listen_backlog}
 {
 }
 
@@ -35,7 +36,7 @@
 status tcp_listener::open(const std::string& address)
 {
     const auto local = to_inet_address(address);
-    if (!local || acceptor_.open(*local, 1, PF_INET, listen_backlog) != 0) {
+    if (!local || acceptor_.open(*local, 1, PF_INET, backlog_) != 0) {
         return failure{result_code::invalid_setting, "cannot listen on " + address + ": " +
                                                          (local ? std::strerror(errno) // NOLINT
                                                                 : "not an ip:port address")};
@@ -64,9 +65,28 @@
     }
 }
 
+void tcp_listener::limit(std::function<int(int most)> room, int backlog)
+{
+    room_ = std::move(room);
+    backlog_ = backlog;
+}
+
+void tcp_listener::resume()
+{
+    if (open_ && paused_) {
+        // It was watched before, so its place in the reactor is still there.
+        paused_ = !loop_.watch(acceptor_.get_handle(), *this, {true, false});
+    }
+}
+
 void tcp_listener::on_readable()
 {
-    accept(max_accepts_per_event);
+    const int room = room_ ? room_(max_accepts_per_event) : max_accepts_per_event;
+    if (room > 0) {
+        accept(room);
+    } else {
+        paused_ = loop_.watch(acceptor_.get_handle(), *this, {false, false});
+    }
 }
 
 void tcp_listener::accept(int max_count)
--- a/modules/net/tcp_listener.h
+++ b/modules/net/tcp_listener.h
@@ -25,6 +25,16 @@
     /// and the cause.
     [[nodiscard]] status open(const std::string& address);
 
+    /// Accepts at most as many connections at a time as `room` returns; others wait in the listen
+    /// queue, which holds `backlog` of them, and beyond that their callers try again. If there is
+    /// no room, nothing is accepted until resume(). Call it before open().
+    void limit(std::function<int(int most)> room, int backlog);
+
+    /// Accepts connections again, if there is room.
+    void resume();
+
+    [[nodiscard]] bool is_paused() const { return paused_; }
+
     /// Returns the bound port; 0 before open().
     [[nodiscard]] int port() const;
 
@@ -38,6 +48,9 @@
 
     event_loop& loop_;
     accept_handler handler_;
+    std::function<int(int most)> room_; ///< empty: no limit
+    int backlog_;
+    bool paused_{false};
     ACE_SOCK_Acceptor acceptor_;
     bool open_{false};
 };
