Design note of an overrun instance; requests on open connections are bounded too

Cause: connections that are open already pass the door, so callers that keep them can overrun an instance all the same. Change: they are counted, and refused at their head when what is on its way in waits for over half a second. The listen queue follows the link alone: a short pause of the processor drops nobody.

--- a/modules/dispatch/entry_admission.cpp
+++ b/modules/dispatch/entry_admission.cpp
@@ -11,7 +11,10 @@
 /// Max time that what was let in waits on its way in. Small against a latency objective, so that
 /// nearly all of that is left for the server.
 constexpr double max_wait_ms = 60;
-/// Time on the link that connections which wait to be accepted may take.
+/// Max time between the arrival of a request and its sending to a server. The server may announce
+/// its end meanwhile.
+constexpr double max_hold_ms = 500;
+/// Time on the link that the requests of connections which wait to be accepted may take.
 constexpr double max_backlog_ms = 25;
 constexpr int min_backlog = 8;
 constexpr int max_backlog = 512;
@@ -59,6 +62,11 @@
     return excess < 0 ? time_ms{0} : time_ms{static_cast<std::int64_t>(excess) + 1};
 }
 
+bool entry_admission::is_overrun(time_ms now) const
+{
+    return wait(now) > max_hold_ms;
+}
+
 void entry_admission::admitted(time_ms now)
 {
     busy_until_ = static_cast<double>(now.count()) + wait(now) + service_time();
@@ -90,7 +98,9 @@
 
 int entry_admission::backlog() const
 {
-    return std::clamp(static_cast<int>(max_backlog_ms / service_time()), min_backlog, max_backlog);
+    return std::clamp(
+        static_cast<int>(max_backlog_ms * capacity_.bytes_per_ms / bytes_per_request_), min_backlog,
+        max_backlog);
 }
 
 } // namespace jujubevalve
--- a/modules/dispatch/entry_admission.h
+++ b/modules/dispatch/entry_admission.h
@@ -32,6 +32,10 @@
     /// Returns the time until there is room for another request; 0 if there is some now.
     [[nodiscard]] time_ms room_expected_in(time_ms now) const;
 
+    /// Whether what is on its way in waits for so long that another request would be held up. Only
+    /// requests on connections that are open already can bring that about.
+    [[nodiscard]] bool is_overrun(time_ms now) const;
+
     /// Records that a request was let in.
     void admitted(time_ms now);
 
--- a/modules/dispatch/tests/entry_admission_tests.cpp
+++ b/modules/dispatch/tests/entry_admission_tests.cpp
@@ -96,6 +96,23 @@
     CHECK_EQUAL(1, admission.room(1, start + wait));
 }
 
+// Load pattern: callers send one request after another on connections that are open already, which
+// nothing holds back at the door.
+TEST(entry_admission, requests_on_open_connections_can_overrun_an_instance)
+{
+    entry_admission admission{small_machine()};
+    int let_in = 0;
+    while (!admission.is_overrun(start) && let_in < 10'000) {
+        admission.admitted(start);
+        ++let_in;
+    }
+    CHECK(let_in * 4096 / bytes_per_ms > 400);
+    CHECK(let_in * 4096 / bytes_per_ms < 600);
+    CHECK_EQUAL(0, admission.room(1, start));
+    CHECK(!admission.is_overrun(start + time_ms{10}));
+    CHECK(admission.room_expected_in(start) > time_ms{400});
+}
+
 // Load pattern: prompts that are ten times as long as before.
 TEST(entry_admission, larger_requests_leave_room_for_fewer)
 {
--- a/modules/gateway/front_connection.cpp
+++ b/modules/gateway/front_connection.cpp
@@ -19,10 +19,11 @@
 
 front_connection::front_connection(call_context& context, int descriptor, local_handler handler,
                                    std::function<bool()> close_after_response,
-                                   std::function<void()> on_closed)
+                                   entry_admission* admission, std::function<void()> on_closed)
     : context_{context}
     , local_handler_{std::move(handler)}
     , close_after_response_{std::move(close_after_response)}
+    , admission_{admission}
     , on_closed_{std::move(on_closed)}
     , reader_{http_reader::kind::requests, limits().max_head_bytes, *this}
     , stream_{std::make_unique<tcp_stream>(context.loop, static_cast<stream_listener&>(*this),
@@ -145,10 +146,10 @@
 {
     head_ = std::move(head);
     is_head_request_ = head_.method == "HEAD";
-    if (std::exchange(has_had_request_, true)) {
-        context_.entry.admitted(context_.loop.now()); // the first one was with its connection
-    }
     body_.clear();
+    if (!admit()) {
+        return;
+    }
     context_.loop.cancel(timer_);
     timer_ = context_.loop.schedule(body_timeout, [this] {
         timer_ = 0;
@@ -159,6 +160,24 @@
     }
 }
 
+bool front_connection::admit()
+{
+    if (!std::exchange(has_had_request_, true) || admission_ == nullptr) {
+        return true; // admitted with its connection
+    }
+    const auto now = context_.loop.now();
+    if (!admission_->is_overrun(now)) {
+        admission_->admitted(now);
+        return true;
+    }
+    context_.metrics.count("entry_refusals");
+    // Its next request comes on a connection that has to be accepted first.
+    reject(503, result_code::overloaded, "this instance has no room for the request",
+           context_.retry_advice.retry_after(
+               {refusal_cause::instance_overloaded, admission_->room_expected_in(now)}));
+    return false;
+}
+
 void front_connection::on_body(std::string_view bytes)
 {
     if (rejected_) {
@@ -205,7 +224,8 @@
     context_.loop.defer([ended] { delete ended; }); // NOLINT(cppcoreguidelines-owning-memory)
 }
 
-void front_connection::reject(int status, result_code code, std::string_view message)
+void front_connection::reject(int status, result_code code, std::string_view message,
+                              std::optional<time_ms> retry_after)
 {
     if (std::exchange(rejected_, true) || closed_) {
         return;
@@ -215,7 +235,7 @@
         log_fields{}.add("status", status).add("code", static_cast<int>(code)).add("why", message),
         context_.loop.now());
     const auto response =
-        encode_error_response(status, describe(code).name, message, std::nullopt, true);
+        encode_error_response(status, describe(code).name, message, retry_after, true);
     stream_->write(is_head_request_ ? head_of(response) : std::string_view{response});
     close_connection(true);
 }
--- a/modules/gateway/front_connection.h
+++ b/modules/gateway/front_connection.h
@@ -24,9 +24,11 @@
                                private caller_connection
 {
 public:
+    /// `admission` decides about requests on this connection after the first; null: no limit.
     /// `on_closed` is called once, deferred, when the connection can be destroyed.
     front_connection(call_context& context, int descriptor, local_handler handler,
-                     std::function<bool()> close_after_response, std::function<void()> on_closed);
+                     std::function<bool()> close_after_response, entry_admission* admission,
+                     std::function<void()> on_closed);
     ~front_connection() override;
     front_connection(const front_connection&) = delete;
     front_connection& operator=(const front_connection&) = delete;
@@ -58,7 +60,10 @@
 
     void parse();
     void handle_request();
-    void reject(int status, result_code code, std::string_view message);
+    void reject(int status, result_code code, std::string_view message,
+                std::optional<time_ms> retry_after = std::nullopt);
+    /// Admits the request whose head has been read, or refuses it. Returns whether it was admitted.
+    bool admit();
     void delete_ended_call();
     void await_request();
     void await_head();
@@ -73,6 +78,7 @@
     call_context& context_;
     local_handler local_handler_;
     std::function<bool()> close_after_response_;
+    entry_admission* admission_;
     std::function<void()> on_closed_;
     http_reader reader_;
     std::unique_ptr<tcp_stream> stream_;
--- a/modules/gateway/front_server.cpp
+++ b/modules/gateway/front_server.cpp
@@ -68,7 +68,7 @@
     const auto id = ++last_id_;
     connections_.emplace(id, std::make_unique<front_connection>(
                                  context_, descriptor, local_handler_, close_after_response_,
-                                 [this, id] { connections_.erase(id); }));
+                                 admission_, [this, id] { connections_.erase(id); }));
 }
 
 void front_server::stop_accepting()
