--- a/modules/gateway/call.cpp
+++ b/modules/gateway/call.cpp
@@ -30,6 +30,8 @@
 /// Max size of a response that is buffered until it is complete.
 constexpr std::size_t max_buffered_response_bytes = 8 * 1024 * 1024;
 constexpr int default_priority = 5;
+/// Bytes that the heads of a request and of the server's answer have, about.
+constexpr std::int64_t head_bytes_of_request_and_answer = 800;
 /// An answer that has gone on for this long after its first event has not crashed its server.
 constexpr time_ms sound_answer_age{250};
 /// Max events that a server may have sent without their being relayed when a stream was aborted.
@@ -265,10 +267,38 @@
         watch_response();
         return;
     }
+    if (is_link_congested()) {
+        refuse_congested();
+        return;
+    }
     connection_->abandon();
     on_exchange_failed(exchange_failure::not_connected);
 }
 
+bool call::is_link_congested()
+{
+    const auto& traffic = context_.loop.traffic();
+    context_.link.observe({traffic.received, traffic.sent}, context_.loop.now());
+    return context_.link.is_congested();
+}
+
+// The server may be well, and another one could not be reached in time either.
+void call::refuse_congested()
+{
+    context_.metrics.count("connects_lost_to_congestion");
+    connection_->abandon();
+    end_attempt(server_verdict::neutral);
+    --attempts_;
+    if (state_ == run_state::ran) {
+        fail_call("this instance's link is congested");
+        return;
+    }
+    state_ = run_state::not_run;
+    refuse(result_code::overloaded, 503, "this instance's link is congested",
+           retry_after(refusal_cause::instance_overloaded,
+                       context_.entry.room_expected_in(context_.loop.now())));
+}
+
 void call::watch_response()
 {
     if (!may_run_again()) {
@@ -288,7 +318,8 @@
     // in the queue is better than starting over at another server.
     const bool may_be_queued = route_->kind == call_kind::stream &&
                                !context_.view.servers().is_silent_since(server_id_, sent_at_);
-    if (may_be_queued || !may_retry(true)) {
+    // The answer may be waiting on this instance's own link, as another one would.
+    if (may_be_queued || is_link_congested() || !may_retry(true)) {
         return;
     }
     end_attempt(server_verdict::unreachable);
@@ -466,6 +497,8 @@
     }
     settle();
     const auto now = context_.loop.now();
+    context_.entry.request_ended(static_cast<std::int64_t>(body_.size() + to_caller_.sent_bytes()) +
+                                 head_bytes_of_request_and_answer);
     context_.metrics.count("answers_" + std::to_string(status));
     if (to_caller_.progress() == response_progress::broken_off) {
         context_.metrics.count("responses_broken_off");
--- a/modules/gateway/front_server.cpp
+++ b/modules/gateway/front_server.cpp
@@ -9,6 +9,8 @@
 
 namespace
 {
+/// Time between two log lines of an instance that cannot let all requests in.
+constexpr time_ms entry_limit_log_interval{1000};
 /// Share of the file descriptors for callers; the rest is left for connections to backend servers
 /// and the store.
 const std::size_t max_connections = event_loop::capacity() * 6 / 10;
@@ -23,6 +25,31 @@
 {
 }
 
+void front_server::limit_entry(entry_admission& admission)
+{
+    admission_ = &admission;
+    listener_.limit([this](int most) { return entry_room(most); }, admission.backlog());
+}
+
+int front_server::entry_room(int most)
+{
+    const auto now = context_.loop.now();
+    const int room = admission_->room(most, now);
+    if (room == 0) {
+        context_.metrics.count("entry_pauses");
+        if (now - entry_limit_logged_at_ >= entry_limit_log_interval) {
+            entry_limit_logged_at_ = now;
+            context_.log.write("entry_limited",
+                               log_fields{}
+                                   .add("bytes_per_request", admission_->bytes_per_request())
+                                   .add("connections", connections_.size()),
+                               now);
+        }
+        context_.loop.schedule(admission_->room_expected_in(now), [this] { listener_.resume(); });
+    }
+    return room;
+}
+
 status front_server::open(const std::string& address)
 {
     return listener_.open(address);
@@ -35,10 +62,13 @@
         ::close(descriptor);
         return;
     }
+    if (admission_ != nullptr) {
+        admission_->admitted(context_.loop.now());
+    }
     const auto id = ++last_id_;
     connections_.emplace(id, std::make_unique<front_connection>(
                                  context_, descriptor, local_handler_, close_after_response_,
-                                 [this, id] { connections_.erase(id); }));
+                                 admission_, [this, id] { connections_.erase(id); }));
 }
 
 void front_server::stop_accepting()
--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -143,6 +143,8 @@
                    incarnation_,
                    settings_.warm_up_overage}
         , crashes_{loop_, [this](const server_crash& crash) { notices_.record_crash(crash); }}
+        , link_{settings_.link_mbps}
+        , entry_{{link_.bytes_per_ms(), settings_.cpu_requests_per_s / 1000}}
         , context_{loop_,
                    settings_,
                    log_,
@@ -157,6 +159,8 @@
                    std::minstd_rand{
                        static_cast<std::minstd_rand::result_type>(hash64(incarnation_))},
                    retry_advisor{hash64("retries of " + incarnation_)},
+                   link_,
+                   entry_,
                    {},
                    0}
         , caller_server_{context_, [](const http_head&, bool) { return std::nullopt; },
@@ -187,6 +191,7 @@
              {&readiness_server_, settings_.readiness_listen},
              {&directory_server_, settings_.directory_listen},
              {&metrics_server_, settings_.metrics_listen}}};
+        caller_server_.limit_entry(entry_);
         for (const auto& [server, address] : servers) {
             if (address.empty()) {
                 continue;
@@ -216,6 +221,7 @@
         budgets_.on_other_message = [this](const peer_message& message) {
             return notices_.receive(message);
         };
+        budgets_.is_link_congested = [this] { return link_.is_congested(); };
         notices_.server_name = [this](std::uint64_t server) {
             return view_.servers().id_of(server);
         };
@@ -285,6 +291,8 @@
     void run_maintenance()
     {
         update_request_rate();
+        entry_.observe(loop_.traffic().received, loop_.now());
+        link_.observe({loop_.traffic().received, loop_.traffic().sent}, loop_.now());
         update_serving();
         connections_.close_idle();
         const auto fleet = view_.counts();
@@ -417,6 +425,8 @@
     server_choice choice_;
     fleet_notice_service notices_;
     server_crash_detector crashes_;
+    link_budget link_;
+    entry_admission entry_;
     call_context context_;
     front_server caller_server_;
     front_server readiness_server_;
