Prompts go to servers in proportion to their pace

Servers of one service may differ in pace for good; where a quarter works twice as fast as the rest, hashing sent each server the same number of sessions, and the first event took 103 ms on average at the fast ones and 329 ms at the slow ones (instances whose own link was not the cause). The preferred servers of a prompt are now chosen by weighted rendezvous hashing, with the median slowness of a server's latest reports.

A load report that grows old now counts as the server's average load, not as none.

--- a/modules/dispatch/server_choice.cpp
+++ b/modules/dispatch/server_choice.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -33,13 +34,42 @@
     return count == 0 ? nullptr : &generation.parts[count >= 2 ? count - 2 : 0];
 }
 
+service_averages averages_of(const std::vector<server_state*>& servers)
+{
+    double slowness = 0;
+    double load = 0;
+    double count = 0;
+    for (const auto* const server : servers) {
+        if (!server->averages.is_empty()) {
+            slowness += server->averages.slowness(1);
+            load += server->averages.load(0);
+            ++count;
+        }
+    }
+    return count > 0 ? service_averages{slowness / count, load / count} : service_averages{};
+}
+
+/// Returns the weight of the server for a block in weighted rendezvous hashing: a server gets
+/// blocks in proportion to how fast it works.
+double rendezvous_weight(std::uint64_t block_id, const server_state& server, double slowness)
+{
+    // In (0, 1), from the bits of the hash that fit into a double.
+    constexpr int surplus_bits = 11;
+    const auto uniform =
+        std::ldexp(static_cast<double>(block_server_hash(block_id, server) >> surplus_bits) + 0.5,
+                   surplus_bits - 64);
+    return -1 / (slowness * std::log(uniform));
+}
+
 std::array<const server_state*, preferred_server_count>
-preferred_servers(const std::vector<server_state*>& candidates, std::uint64_t block_id)
+preferred_servers(const std::vector<server_state*>& candidates, const service_averages& service,
+                  std::uint64_t block_id)
 {
     std::array<const server_state*, preferred_server_count> best{};
-    std::array<std::uint64_t, preferred_server_count> weights{};
+    std::array<double, preferred_server_count> weights{};
     for (const auto* server : candidates) {
-        auto weight = block_server_hash(block_id, *server);
+        auto weight =
+            rendezvous_weight(block_id, *server, server->averages.slowness(service.slowness));
         const auto* contender = server;
         for (std::size_t i = 0; i < preferred_server_count; ++i) {
             if (best.at(i) == nullptr || weight > weights.at(i)) {
@@ -67,9 +97,10 @@
 {
     const auto* const shared_block =
         generation == nullptr ? nullptr : last_shared_block(*generation);
+    const auto service = averages_of(candidates);
     const auto preferred = shared_block == nullptr
                                ? std::array<const server_state*, preferred_server_count>{}
-                               : preferred_servers(candidates, shared_block->id);
+                               : preferred_servers(candidates, service, shared_block->id);
     server_state* best = nullptr;
     double lowest_cost = std::numeric_limits<double>::max();
     for (auto* const server : candidates) {
@@ -78,18 +109,15 @@
         }
         double cost = 0;
         if (generation == nullptr) {
-            cost = plain_cost(*server, now);
+            cost = plain_cost(*server, service, now);
         } else {
-            cost = generation_cost(*server, *generation, now);
+            auto prefill_tokens = estimate_prefill_tokens(*server, *generation, now);
             const bool is_preferred = server == preferred[0] || server == preferred[1];
-            const auto unshared_tokens =
-                static_cast<double>(generation->parts.empty() ? generation->prompt_tokens
-                                                              : generation->parts.back().tokens);
             if (is_preferred) {
-                cost = std::min(cost, generation_cost(*server, {}, now) +
-                                          unshared_tokens / options_.prefill_tokens_per_ms);
-                cost += server == preferred[0] ? 0 : second_preferred_cost_ms;
+                prefill_tokens = std::min(prefill_tokens, generation->parts.back().tokens);
             }
+            cost = generation_cost(*server, service, prefill_tokens, now);
+            cost += is_preferred && server != preferred[0] ? second_preferred_cost_ms : 0;
         }
         cost += domain_cost(*server);
         cost += server->avoid_until > now ? avoided_cost_ms : 0;
@@ -102,37 +130,40 @@
     return best;
 }
 
-double server_choice::load_of(const server_state& server, time_ms now) const
+double server_choice::load_of(const server_state& server, const service_averages& service,
+                              time_ms now) const
 {
     const auto own = static_cast<double>(server.own_running);
+    const auto average = std::max(own, server.averages.load(service.load));
     if (!server.report) {
-        return own;
+        return average;
     }
     const auto age = static_cast<double>((now - server.report_received_at).count());
     const auto max_age = static_cast<double>(options_.load_report_max_age.count());
     const auto weight = std::max(0.0, 1 - age / max_age);
     const auto reported = static_cast<double>(server.report->running + server.report->waiting) +
                           static_cast<double>(server.sent_since_report);
-    return std::max(own, weight * reported + (1 - weight) * own);
+    return std::max(own, weight * reported + (1 - weight) * average);
 }
 
-double server_choice::plain_cost(const server_state& server, time_ms now)
+double server_choice::plain_cost(const server_state& server, const service_averages& service,
+                                 time_ms now)
 {
     const auto slots = static_cast<double>(std::max<std::int64_t>(1, server.entry.slots));
     const auto latency = static_cast<double>(std::max<std::int64_t>(1, server.latency.count()));
     std::uniform_real_distribution<double> jitter{0, 3};
-    return latency * (1 + load_of(server, now) / slots) + jitter(random_);
+    const auto load = load_of(server, service, now);
+    return latency * (1 + load / slots) + jitter(random_);
 }
 
-double server_choice::generation_cost(const server_state& server,
-                                      const generation_request& generation, time_ms now) const
+double server_choice::generation_cost(const server_state& server, const service_averages& service,
+                                      token_count prefill_tokens, time_ms now) const
 {
-    const auto prefill_tokens =
-        estimate_prefill_tokens(server, generation, now) + server.own_prefill_tokens;
     const auto slots = static_cast<double>(std::max<std::int64_t>(1, server.entry.slots));
-    const auto load = load_of(server, now);
+    const auto load = load_of(server, service, now);
     const auto overload_cost = load >= slots ? 1000.0 * (load - slots + 1) : 0.0;
-    return static_cast<double>(prefill_tokens) / options_.prefill_tokens_per_ms +
+    return static_cast<double>(prefill_tokens + server.own_prefill_tokens) /
+               options_.prefill_tokens_per_ms +
            options_.cost_per_running_request_ms * load + overload_cost;
 }
 
