--- a/modules/dispatch/server_choice.cpp
+++ b/modules/dispatch/server_choice.cpp
@@ -34,19 +34,18 @@
     return count == 0 ? nullptr : &generation.parts[count >= 2 ? count - 2 : 0];
 }
 
-service_averages averages_of(const std::vector<server_state*>& servers)
+/// Returns the mean slowness of the servers whose pace is known, for those whose is not.
+double mean_slowness(const std::vector<server_state*>& servers)
 {
-    double slowness = 0;
-    double load = 0;
+    double sum = 0;
     double count = 0;
     for (const auto* const server : servers) {
-        if (!server->averages.is_empty()) {
-            slowness += server->averages.slowness(1);
-            load += server->averages.load(0);
+        if (server->pace.is_known()) {
+            sum += server->pace.slowness(1);
             ++count;
         }
     }
-    return count > 0 ? service_averages{slowness / count, load / count} : service_averages{};
+    return count > 0 ? sum / count : 1;
 }
 
 /// Returns the weight of the server for a block in weighted rendezvous hashing: a server gets
@@ -62,14 +61,14 @@
 }
 
 std::array<const server_state*, preferred_server_count>
-preferred_servers(const std::vector<server_state*>& candidates, const service_averages& service,
-                  std::uint64_t block_id)
+preferred_servers(const std::vector<server_state*>& candidates, std::uint64_t block_id)
 {
+    const auto expected_slowness = mean_slowness(candidates);
     std::array<const server_state*, preferred_server_count> best{};
     std::array<double, preferred_server_count> weights{};
     for (const auto* server : candidates) {
         auto weight =
-            rendezvous_weight(block_id, *server, server->averages.slowness(service.slowness));
+            rendezvous_weight(block_id, *server, server->pace.slowness(expected_slowness));
         const auto* contender = server;
         for (std::size_t i = 0; i < preferred_server_count; ++i) {
             if (best.at(i) == nullptr || weight > weights.at(i)) {
@@ -97,10 +96,9 @@
 {
     const auto* const shared_block =
         generation == nullptr ? nullptr : last_shared_block(*generation);
-    const auto service = averages_of(candidates);
     const auto preferred = shared_block == nullptr
                                ? std::array<const server_state*, preferred_server_count>{}
-                               : preferred_servers(candidates, service, shared_block->id);
+                               : preferred_servers(candidates, shared_block->id);
     server_state* best = nullptr;
     double lowest_cost = std::numeric_limits<double>::max();
     for (auto* const server : candidates) {
@@ -109,14 +107,14 @@
         }
         double cost = 0;
         if (generation == nullptr) {
-            cost = plain_cost(*server, service, now);
+            cost = plain_cost(*server, now);
         } else {
             auto prefill_tokens = estimate_prefill_tokens(*server, *generation, now);
             const bool is_preferred = server == preferred[0] || server == preferred[1];
             if (is_preferred) {
                 prefill_tokens = std::min(prefill_tokens, generation->parts.back().tokens);
             }
-            cost = generation_cost(*server, service, prefill_tokens, now);
+            cost = generation_cost(*server, prefill_tokens, now);
             cost += is_preferred && server != preferred[0] ? second_preferred_cost_ms : 0;
         }
         cost += domain_cost(*server);
@@ -130,37 +128,33 @@
     return best;
 }
 
-double server_choice::load_of(const server_state& server, const service_averages& service,
-                              time_ms now) const
+double server_choice::load_of(const server_state& server, time_ms now) const
 {
     const auto own = static_cast<double>(server.own_running);
-    const auto average = std::max(own, server.averages.load(service.load));
     if (!server.report) {
-        return average;
+        return own;
     }
     const auto age = static_cast<double>((now - server.report_received_at).count());
     const auto max_age = static_cast<double>(options_.load_report_max_age.count());
     const auto weight = std::max(0.0, 1 - age / max_age);
     const auto reported = static_cast<double>(server.report->running + server.report->waiting) +
                           static_cast<double>(server.sent_since_report);
-    return std::max(own, weight * reported + (1 - weight) * average);
+    return std::max(own, weight * reported + (1 - weight) * own);
 }
 
-double server_choice::plain_cost(const server_state& server, const service_averages& service,
-                                 time_ms now)
+double server_choice::plain_cost(const server_state& server, time_ms now)
 {
     const auto slots = static_cast<double>(std::max<std::int64_t>(1, server.entry.slots));
     const auto latency = static_cast<double>(std::max<std::int64_t>(1, server.latency.count()));
     std::uniform_real_distribution<double> jitter{0, 3};
-    const auto load = load_of(server, service, now);
-    return latency * (1 + load / slots) + jitter(random_);
+    return latency * (1 + load_of(server, now) / slots) + jitter(random_);
 }
 
-double server_choice::generation_cost(const server_state& server, const service_averages& service,
-                                      token_count prefill_tokens, time_ms now) const
+double server_choice::generation_cost(const server_state& server, token_count prefill_tokens,
+                                      time_ms now) const
 {
     const auto slots = static_cast<double>(std::max<std::int64_t>(1, server.entry.slots));
-    const auto load = load_of(server, service, now);
+    const auto load = load_of(server, now);
     const auto overload_cost = load >= slots ? 1000.0 * (load - slots + 1) : 0.0;
     return static_cast<double>(prefill_tokens + server.own_prefill_tokens) /
                options_.prefill_tokens_per_ms +
--- a/modules/dispatch/server_choice.h
+++ b/modules/dispatch/server_choice.h
@@ -26,9 +26,8 @@
 
 /// Chooses a server for a request. Prompts go to a server that has their shared blocks cached,
 /// unless a prefill elsewhere would be faster. By rendezvous hashing all instances prefer the same
-/// servers for the same blocks without communication, in proportion to how fast the servers work by
-/// their load reports. Plain calls go to the server with the lowest
-/// load and latency.
+/// servers for the same blocks without communication, and fast servers for more blocks than slow
+/// ones. Plain calls go to the server with the lowest load and latency.
 class server_choice
 {
 public:
@@ -49,13 +48,10 @@
 
 private:
     /// Estimates the requests that run or wait at the server.
-    [[nodiscard]] double load_of(const server_state& server, const service_averages& service,
-                                 time_ms now) const;
-    [[nodiscard]] double plain_cost(const server_state& server, const service_averages& service,
-                                    time_ms now);
-    [[nodiscard]] double generation_cost(const server_state& server,
-                                         const service_averages& service,
-                                         token_count prefill_tokens, time_ms now) const;
+    [[nodiscard]] double load_of(const server_state& server, time_ms now) const;
+    [[nodiscard]] double plain_cost(const server_state& server, time_ms now);
+    [[nodiscard]] double generation_cost(const server_state& server, token_count prefill_tokens,
+                                         time_ms now) const;
     [[nodiscard]] double domain_cost(const server_state& server) const;
     [[nodiscard]] bool is_cached(const server_state& server, std::uint64_t block_id,
                                  time_ms now) const;
--- a/modules/dispatch/server_directory.h
+++ b/modules/dispatch/server_directory.h
@@ -2,8 +2,8 @@
 
 #include "core/time_ms.h"
 #include "dispatch/call_request.h"
-#include "dispatch/report_averages.h"
 #include "dispatch/server_entry.h"
+#include "dispatch/server_pace.h"
 
 #include <cstdint>
 #include <map>
@@ -33,7 +33,7 @@
     token_count own_prefill_tokens{0}; ///< prompt tokens of these requests, not prefilled yet
     std::optional<server_load> report; ///< the latest load report
     time_ms report_received_at{};
-    report_averages averages;   ///< over the load reports
+    server_pace pace;           ///< from its load reports
     time_ms last_received_at{}; ///< when the last byte was received from it
     std::int64_t sent_since_report{0};
     int consecutive_failures{0}; ///< unreachable verdicts
