--- a/modules/dispatch/server_choice.cpp
+++ b/modules/dispatch/server_choice.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -33,13 +34,41 @@
     return count == 0 ? nullptr : &generation.parts[count >= 2 ? count - 2 : 0];
 }
 
+/// Returns the mean slowness of the servers whose pace is known, for those whose is not.
+double mean_slowness(const std::vector<server_state*>& servers)
+{
+    double sum = 0;
+    double count = 0;
+    for (const auto* const server : servers) {
+        if (server->pace.is_known()) {
+            sum += server->pace.slowness(1);
+            ++count;
+        }
+    }
+    return count > 0 ? sum / count : 1;
+}
+
+/// Returns the weight of the server for a block in weighted rendezvous hashing: a server gets
+/// blocks in proportion to how fast it works.
+double rendezvous_weight(std::uint64_t block_id, const server_state& server, double slowness)
+{
+    // In (0, 1), from the bits of the hash that fit into a double.
+    constexpr int surplus_bits = 11;
+    const auto uniform =
+        std::ldexp(static_cast<double>(block_server_hash(block_id, server) >> surplus_bits) + 0.5,
+                   surplus_bits - 64);
+    return -1 / (slowness * std::log(uniform));
+}
+
 std::array<const server_state*, preferred_server_count>
 preferred_servers(const std::vector<server_state*>& candidates, std::uint64_t block_id)
 {
+    const auto expected_slowness = mean_slowness(candidates);
     std::array<const server_state*, preferred_server_count> best{};
-    std::array<std::uint64_t, preferred_server_count> weights{};
+    std::array<double, preferred_server_count> weights{};
     for (const auto* server : candidates) {
-        auto weight = block_server_hash(block_id, *server);
+        auto weight =
+            rendezvous_weight(block_id, *server, server->pace.slowness(expected_slowness));
         const auto* contender = server;
         for (std::size_t i = 0; i < preferred_server_count; ++i) {
             if (best.at(i) == nullptr || weight > weights.at(i)) {
@@ -80,16 +109,13 @@
         if (generation == nullptr) {
             cost = plain_cost(*server, now);
         } else {
-            cost = generation_cost(*server, *generation, now);
+            auto prefill_tokens = estimate_prefill_tokens(*server, *generation, now);
             const bool is_preferred = server == preferred[0] || server == preferred[1];
-            const auto unshared_tokens =
-                static_cast<double>(generation->parts.empty() ? generation->prompt_tokens
-                                                              : generation->parts.back().tokens);
             if (is_preferred) {
-                cost = std::min(cost, generation_cost(*server, {}, now) +
-                                          unshared_tokens / options_.prefill_tokens_per_ms);
-                cost += server == preferred[0] ? 0 : second_preferred_cost_ms;
+                prefill_tokens = std::min(prefill_tokens, generation->parts.back().tokens);
             }
+            cost = generation_cost(*server, prefill_tokens, now);
+            cost += is_preferred && server != preferred[0] ? second_preferred_cost_ms : 0;
         }
         cost += domain_cost(*server);
         cost += server->avoid_until > now ? avoided_cost_ms : 0;
@@ -124,15 +150,14 @@
     return latency * (1 + load_of(server, now) / slots) + jitter(random_);
 }
 
-double server_choice::generation_cost(const server_state& server,
-                                      const generation_request& generation, time_ms now) const
+double server_choice::generation_cost(const server_state& server, token_count prefill_tokens,
+                                      time_ms now) const
 {
-    const auto prefill_tokens =
-        estimate_prefill_tokens(server, generation, now) + server.own_prefill_tokens;
     const auto slots = static_cast<double>(std::max<std::int64_t>(1, server.entry.slots));
     const auto load = load_of(server, now);
     const auto overload_cost = load >= slots ? 1000.0 * (load - slots + 1) : 0.0;
-    return static_cast<double>(prefill_tokens) / options_.prefill_tokens_per_ms +
+    return static_cast<double>(prefill_tokens + server.own_prefill_tokens) /
+               options_.prefill_tokens_per_ms +
            options_.cost_per_running_request_ms * load + overload_cost;
 }
 
--- a/modules/dispatch/server_choice.h
+++ b/modules/dispatch/server_choice.h
@@ -26,8 +26,8 @@
 
 /// Chooses a server for a request. Prompts go to a server that has their shared blocks cached,
 /// unless a prefill elsewhere would be faster. By rendezvous hashing all instances prefer the same
-/// servers for the same blocks without communication. Plain calls go to the server with the lowest
-/// load and latency.
+/// servers for the same blocks without communication, and fast servers for more blocks than slow
+/// ones. Plain calls go to the server with the lowest load and latency.
 class server_choice
 {
 public:
@@ -50,8 +50,8 @@
     /// Estimates the requests that run or wait at the server.
     [[nodiscard]] double load_of(const server_state& server, time_ms now) const;
     [[nodiscard]] double plain_cost(const server_state& server, time_ms now);
-    [[nodiscard]] double generation_cost(const server_state& server,
-                                         const generation_request& generation, time_ms now) const;
+    [[nodiscard]] double generation_cost(const server_state& server, token_count prefill_tokens,
+                                         time_ms now) const;
     [[nodiscard]] double domain_cost(const server_state& server) const;
     [[nodiscard]] bool is_cached(const server_state& server, std::uint64_t block_id,
                                  time_ms now) const;
--- a/modules/dispatch/server_directory.h
+++ b/modules/dispatch/server_directory.h
@@ -4,6 +4,7 @@
 #include "dispatch/call_request.h"
 #include "dispatch/evacuations.h"
 #include "dispatch/server_entry.h"
+#include "dispatch/server_pace.h"
 
 #include <cstdint>
 #include <map>
@@ -33,6 +34,7 @@
     token_count own_prefill_tokens{0}; ///< prompt tokens of these requests, not prefilled yet
     std::optional<server_load> report; ///< the latest load report
     time_ms report_received_at{};
+    server_pace pace;           ///< from its load reports
     time_ms last_received_at{}; ///< when the last byte was received from it
     std::int64_t sent_since_report{0};
     int consecutive_failures{0}; ///< unreachable verdicts
