--- a/apps/soak/fault_plan.cpp
+++ b/apps/soak/fault_plan.cpp
@@ -448,7 +448,8 @@
 
 void fault_plan::check_cold_server()
 {
-    auto& item = site_.servers().front();
+    // The first plain server: it gets many requests, also when the accounts have no tokens left.
+    auto& item = site_.servers()[static_cast<std::size_t>(site_.options().engines)];
     item.cold_for = seconds(6);
     site_.announce(item);
     wait(registration_bound);
--- a/apps/soak/fault_plan.h
+++ b/apps/soak/fault_plan.h
@@ -46,8 +46,9 @@
     [[nodiscard]] const std::vector<std::string>& violations() const { return violations_; }
 
 private:
-    /// Failure domain that the operator evacuates at times.
-    static constexpr const char* evacuated_domain = "b";
+    /// Failure domain that the operator evacuates at times: that of the gateways, whose servers
+    /// they prefer.
+    static constexpr const char* evacuated_domain = "a";
 
     struct open_fault {
         time_ms until{};
--- a/modules/dispatch/warm_up_limiter.cpp
+++ b/modules/dispatch/warm_up_limiter.cpp
@@ -55,9 +55,10 @@
     }
 }
 
-void warm_up_limiter::note_crash(std::uint64_t server, time_ms now)
+void warm_up_limiter::note_crash(std::uint64_t server, time_ms at)
 {
-    crashed_until_[server] = now + crash_memory;
+    auto& until = crashed_until_[server];
+    until = std::max(until, at + crash_memory);
 }
 
 void warm_up_limiter::note_evacuation_ended(const std::string& domain, time_ms now)
--- a/modules/dispatch/warm_up_limiter.h
+++ b/modules/dispatch/warm_up_limiter.h
@@ -35,8 +35,8 @@
     /// Sets the services whose cold servers have a limit.
     void set_services(const fleet_config& config);
 
-    /// Takes the incarnation with this server_key for cold for a while: it was seen to crash.
-    void note_crash(std::uint64_t server, time_ms now);
+    /// Takes the incarnation with this server_key for cold for a while after it was seen to crash.
+    void note_crash(std::uint64_t server, time_ms at);
 
     /// Takes the servers of the failure domain for cold for the duration of a warm-up.
     void note_evacuation_ended(const std::string& domain, time_ms now);
--- a/modules/gateway/fleet_notice_service.cpp
+++ b/modules/gateway/fleet_notice_service.cpp
@@ -210,7 +210,7 @@
 {
     exchange_.pass_on(notice);
     if (const auto* const crash = std::get_if<crash_notice>(&notice)) {
-        warm_ups_.note_crash(crash->server, now());
+        warm_ups_.note_crash(crash->server, crash->at);
         const time_ms delay{
             std::uniform_int_distribution<std::int64_t>{0, max_answer_delay.count()}(random_)};
         loop_.schedule(delay, [this, seen = *crash] { quarantine_.answer(seen, now()); });
