Ceilings that strand little of a budget that nears its end

Accounts that ran out later refused requests that the budget still covered. Besides, a standby that was told of a shortage judged its surplus by an old ledger row.

Change: until the faster growth begins, base and growth together leave at most 1/80 of the budget, and more as long as over a quarter of it is left, since the headroom serves callers in an outage. A standby gets no headroom for an idle request. Slow writes count in the base. A request that is refused below a ceiling is told when the ceiling has room, behind those refused before it; homes pass this on. A shortage is told 2.5 s of demand ahead, and a holder that is told plans again once it has read the ledger.

--- a/modules/budget/grant_tracker.cpp
+++ b/modules/budget/grant_tracker.cpp
@@ -286,6 +286,13 @@
     }
 }
 
+void grant_tracker::request_check(std::string_view budget)
+{
+    if (const auto found = budgets_.find(budget); found != budgets_.end()) {
+        found->second.check_requested = true;
+    }
+}
+
 bool grant_tracker::may_plan(time_ms now) const
 {
     return !fenced_ && !stopped_ && (platform_reachable_ || now >= next_probe_);
--- a/modules/budget/grant_tracker.h
+++ b/modules/budget/grant_tracker.h
@@ -28,6 +28,8 @@
     reservation_id id{0};
     result_code code{result_code::ok};
     bool refill_may_help{false}; ///< a refill is due or in progress; waiting may succeed
+    /// Time after which a refused request is expected to get its tokens; nothing if unknown.
+    std::optional<time_ms> room_expected_in{};
 
     explicit operator bool() const { return id != 0; }
     friend bool operator==(const reserve_outcome&, const reserve_outcome&) = default;
@@ -184,6 +186,8 @@
     /// and a surplus is returned. Hints within `refill_timing::hint_interval` of the last one are
     /// ignored, which limits the writes that hints cause.
     void record_peer_shortage(std::string_view budget, time_ms now);
+    /// Has the budget's grant planned again soon, since its ledger may have changed.
+    void request_check(std::string_view budget);
 
     /// Returns the budgets whose grants need a change now; call repeatedly until the batch is
     /// empty. The budgets of a batch are not planned again until `apply` or `give_up` is called for
--- a/modules/dispatch/account_budgets.cpp
+++ b/modules/dispatch/account_budgets.cpp
@@ -27,8 +27,16 @@
 /// A ceiling includes headroom for one request even without demand if more than this many requests
 /// per instance are free of the budget. Killing all instances then strands about 1/20 of that.
 constexpr std::int64_t ample_free_requests = 20;
-/// Killing all instances strands at most 1/16 of what is left of a budget.
-constexpr std::int64_t max_stranded_divisor = 16;
+/// Killing all holders of a budget that restart soon strands at most 1/80 of the budget, and a
+/// standby 1/400 of it, once less than 1/4 is left: callers count on nearly all that was paid for.
+/// While more is left, 1/4 of what exceeds that may be stranded in addition, since the headroom
+/// serves callers in an outage of the store.
+constexpr std::int64_t max_stranded_divisor = 80;
+constexpr std::int64_t max_stranded_at_standby_divisor = 400;
+constexpr std::int64_t ample_remaining_divisor = 4;
+constexpr std::int64_t spare_divisor = 4;
+/// The base of a ceiling strands at most 1/16 of what is left of a budget.
+constexpr std::int64_t max_stranded_of_remaining_divisor = 16;
 
 /// Demand in excess of its average, and requests of an account without demand, for which a home's
 /// ceiling leaves room in a long outage, over this time.
@@ -57,6 +65,16 @@
     return std::min(available, needed);
 }
 
+/// Returns how many tokens the death of all holders of the budget may strand if their successors
+/// start soon.
+token_count max_stranded(const grant_policy_input& facts)
+{
+    const auto remaining =
+        std::max<token_count>(0, facts.available) + std::max<token_count>(0, facts.free);
+    const auto spare = std::max<token_count>(0, remaining - facts.limit / ample_remaining_divisor);
+    return facts.limit / max_stranded_divisor + spare / spare_divisor;
+}
+
 std::string pool_row_text(const std::string& account, token_count limit)
 {
     return nlohmann::json{{"budget", account}, {"limit_tokens", limit}, {"safety_margin_tokens", 0}}
@@ -138,6 +156,26 @@
     return grants_.reserve(account, tokens, now);
 }
 
+std::optional<time_ms> account_budgets::room_expected_in(std::string_view account,
+                                                         token_count tokens, time_ms now)
+{
+    if (grants_.available(account) < tokens) {
+        return std::nullopt;
+    }
+    auto& promised = promised_[std::string{account}];
+    if (now >= promised.until) {
+        promised.tokens = 0;
+    }
+    const auto total = grants_.spent(account) + grants_.reserved(account) + tokens;
+    const auto room = ceilings_.time_until_allowed(
+        account, std::min(total + promised.tokens, max_token_count), now);
+    if (room) {
+        promised.tokens = std::min(promised.tokens + tokens, max_token_count);
+        promised.until = std::max(promised.until, now + *room);
+    }
+    return room;
+}
+
 bool account_budgets::is_exhausted(std::string_view account, token_count tokens) const
 {
     const auto facts = grants_.facts(account, 1, time_ms{});
@@ -240,7 +278,7 @@
 void account_budgets::committed(const grant_write& write, const commit_result& outcome,
                                 const std::vector<table_row>& current, time_ms now)
 {
-    rows_read(current, now);
+    cache_rows(current);
     if (outcome.outcome == commit_outcome::committed &&
         outcome.versions.size() == write.planned.change.writes.size()) {
         for (std::size_t i = 0; i < outcome.versions.size(); ++i) {
@@ -251,7 +289,30 @@
     grants_.apply(write.batch, write.planned, outcome, now);
 }
 
+void account_budgets::record_peer_shortage(std::string_view account, time_ms now)
+{
+    grants_.record_peer_shortage(account, now);
+    if (grants_.available(account) > 0) {
+        lacked_elsewhere_.emplace(account);
+    }
+}
+
+// The surplus depends on what is free, of which the ledger seen last may show too much.
 void account_budgets::rows_read(const std::vector<table_row>& rows, time_ms /*now*/)
+{
+    cache_rows(rows);
+    for (const auto& row : rows) {
+        const auto lacked = std::find_if(
+            lacked_elsewhere_.begin(), lacked_elsewhere_.end(),
+            [&row](const std::string& account) { return ledger_row_key(account) == row.key; });
+        if (lacked != lacked_elsewhere_.end()) {
+            grants_.request_check(*lacked);
+            lacked_elsewhere_.erase(lacked);
+        }
+    }
+}
+
+void account_budgets::cache_rows(const std::vector<table_row>& rows)
 {
     for (const auto& row : rows) {
         auto& cached = cached_rows_[row.key];
@@ -282,12 +343,23 @@
         const bool is_shared = role == grant_role::shared || role == grant_role::none;
         const bool has_ample_free =
             facts.free > ample_free_requests * (is_shared ? instances_ : 1) * facts.request;
-        const auto min_headroom = has_ample_free ? facts.request : 0;
+        const auto stranded_by_all = max_stranded(facts);
+        // A standby raises its ceiling when it is asked; that takes one write.
+        const bool has_room_for_idle_request =
+            has_ample_free && role != grant_role::standby && facts.request <= stranded_by_all;
+        const auto min_headroom = has_room_for_idle_request ? facts.request : 0;
+        const auto stranded_without_demand = role == grant_role::standby
+                                                 ? facts.limit / max_stranded_at_standby_divisor
+                                                 : min_headroom;
+        const auto stranded_by_share = static_cast<token_count>(
+            policy_.share_of_demand(facts) * static_cast<double>(stranded_by_all));
         found.push_back(
             {account, grants_.spent(account) + grants_.reserved(account), min_headroom,
              facts.demand_per_ms,
-             std::max(policy_.share_of_remaining(facts) / max_stranded_divisor, min_headroom),
-             outage_spend(facts, role), facts.available > 0 || facts.reserved > 0});
+             std::max(policy_.share_of_remaining(facts) / max_stranded_of_remaining_divisor,
+                      min_headroom),
+             outage_spend(facts, role), facts.available > 0 || facts.reserved > 0,
+             std::max(stranded_by_share, stranded_without_demand)});
     }
     return found;
 }
--- a/modules/dispatch/account_budgets.h
+++ b/modules/dispatch/account_budgets.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -55,6 +56,11 @@
     /// is too low at present, otherwise as `grant_tracker::reserve` does.
     [[nodiscard]] reserve_outcome reserve(std::string_view account, token_count tokens,
                                           time_ms now);
+    /// Returns after what time the ceiling is expected to have room for a request that is refused
+    /// now, behind those that were refused before; nothing if its tokens are lacking.
+    [[nodiscard]] std::optional<time_ms> room_expected_in(std::string_view account,
+                                                          token_count tokens, time_ms now);
+
     /// Adds demand of this instance's callers that the home of the account serves. Should the
     /// account be held here later, its demand is known.
     void add_demand(std::string_view account, token_count tokens, time_ms now)
@@ -101,7 +107,8 @@
     void committed(const grant_write& write, const commit_result& outcome,
                    const std::vector<table_row>& current, time_ms now);
 
-    /// Updates the cached rows with rows read from the store.
+    /// Updates the cached rows with rows read from the store. Grants of accounts that other
+    /// instances lack are planned again.
     void rows_read(const std::vector<table_row>& rows, time_ms now);
 
     /// Refuses further reservations and starts returning unspent tokens to the ledgers.
@@ -116,10 +123,7 @@
     [[nodiscard]] std::vector<std::string> short_accounts(std::size_t max_accounts,
                                                           time_ms now) const;
     /// Records that other instances lack tokens of the account, so that a surplus is returned soon.
-    void record_peer_shortage(std::string_view account, time_ms now)
-    {
-        grants_.record_peer_shortage(account, now);
-    }
+    void record_peer_shortage(std::string_view account, time_ms now);
 
     /// Sets the total demand of the other instances.
     void set_demand_elsewhere(account_demand demand)
@@ -140,6 +144,12 @@
     /// Returns the tokens that may still be reserved below the ceiling.
     [[nodiscard]] token_count headroom_below_ceiling(std::string_view account, time_ms now) const;
 
+    /// Returns this instance's share of the fleet's demand for the account, 0 to 1.
+    [[nodiscard]] double share_of_demand(std::string_view account, time_ms now) const
+    {
+        return policy_.share_of_demand(grants_.facts(account, 1, now));
+    }
+
     /// Returns the spend of all accounts in use, as input for the ceilings.
     [[nodiscard]] std::vector<spend_facts> spend(time_ms now) const;
 
@@ -149,9 +159,16 @@
     [[nodiscard]] static std::string ledger_row_key(std::string_view account);
 
 private:
+    /// Tokens of an account for refused requests that have been told when to return.
+    struct promised_tokens {
+        token_count tokens{0};
+        time_ms until{};
+    };
+
     /// Returns the rows that the planner needs for the batch. Those of the term, the instance and
     /// the limits are made up from local state, since they are not in the store.
     [[nodiscard]] std::vector<table_row> planning_rows(const refill_batch& batch) const;
+    void cache_rows(const std::vector<table_row>& rows);
     void open_ahead(time_ms now);
     void drop_virtual_conditions(transaction& change) const;
 
@@ -165,6 +182,8 @@
     std::map<std::string, token_count, std::less<>> limits_;
     std::map<std::string, table_row, std::less<>> cached_rows_;
     std::map<std::string, time_ms, std::less<>> ledger_read_at_; ///< by account
+    std::set<std::string, std::less<>> lacked_elsewhere_;        ///< until the ledger has been read
+    std::map<std::string, promised_tokens, std::less<>> promised_;
 };
 
 } // namespace jujubevalve
--- a/modules/dispatch/grant_stock_policy.cpp
+++ b/modules/dispatch/grant_stock_policy.cpp
@@ -25,6 +25,9 @@
 /// Time whose demand is drawn at once and kept when little is left. With one write per request,
 /// many instances would update one ledger faster than the store can.
 constexpr time_ms scarce_demand_cover{1500};
+/// A shortage is told this long before the remaining tokens are used up: instances tell each other
+/// once a second, and a return takes a write at each of them.
+constexpr time_ms shortage_notice{2500};
 /// Min stock without demand, as a fraction (1/n) of the budget; below it nothing is stocked.
 constexpr std::int64_t min_floor_divisor = 400;
 /// Max tokens that one refill adds for refused and waiting requests, in multiples of the largest
@@ -85,9 +88,15 @@
 
 bool grant_stock_policy::is_short_of_tokens(const grant_policy_input& facts) const
 {
-    return facts.limit > 0 && is_low(facts) &&
-           (facts.available < target(facts) / 2 || facts.available < facts.typical_request) &&
-           facts.demand_per_ms > 0;
+    if (facts.limit <= 0 || facts.demand_per_ms <= 0 || !is_low(facts)) {
+        return false;
+    }
+    const auto remaining =
+        std::max<token_count>(0, facts.available) + std::max<token_count>(0, facts.free);
+    const auto upcoming_demand = static_cast<token_count>(
+        facts.demand_per_ms * static_cast<double>(shortage_notice.count()));
+    return facts.available < target(facts) / 2 || facts.available < facts.typical_request ||
+           remaining < upcoming_demand;
 }
 
 void grant_stock_policy::set_roles(std::function<grant_role(std::string_view account)> roles)
--- a/modules/dispatch/grant_stock_policy.h
+++ b/modules/dispatch/grant_stock_policy.h
@@ -72,6 +72,9 @@
     /// ones and the free ones of the ledger.
     [[nodiscard]] token_count share_of_remaining(const grant_policy_input& facts) const;
 
+    /// Returns this instance's share of the fleet's demand, 0 to 1.
+    [[nodiscard]] double share_of_demand(const grant_policy_input& facts) const;
+
     /// Returns the number of available tokens to hold.
     [[nodiscard]] token_count target(const grant_policy_input& facts) const;
 
@@ -104,9 +107,6 @@
     /// add.
     [[nodiscard]] token_count unmet_tokens(const grant_policy_input& facts) const;
 
-    /// Returns this instance's share of the fleet's demand, 0 to 1.
-    [[nodiscard]] double share_of_demand(const grant_policy_input& facts) const;
-
     grant_stock_options options_;
     account_demand demand_elsewhere_;
     account_demand waiting_tokens_;
--- a/modules/dispatch/spend_ceilings.cpp
+++ b/modules/dispatch/spend_ceilings.cpp
@@ -14,6 +14,9 @@
 /// Time whose demand the headroom covers at publication. While the store responds, a request above
 /// the ceiling waits only for the next publication.
 constexpr time_ms base_cover{400};
+/// Max time of a write for which the headroom leaves room. An instance whose writes take longer
+/// cannot serve the requests that need them within their latency objectives.
+constexpr time_ms max_write_time{1000};
 /// Growth as a multiple of the demand, which varies around its average within seconds.
 constexpr double growth_margin = 1.5;
 /// Max growth as a multiple of the max headroom, over the time until the growth becomes faster.
@@ -33,6 +36,20 @@
     return base + grown(growth_per_s, time_ms{0}) + grown(late_growth_per_s, late_growth_after);
 }
 
+std::optional<time_ms> spend_ceiling::age_of(token_count total) const
+{
+    if (at(max_growth_age) < total) {
+        return std::nullopt;
+    }
+    time_ms below{-1};
+    time_ms reached = max_growth_age;
+    while ((reached - below).count() > 1) {
+        const time_ms middle{(below.count() + reached.count()) / 2};
+        (at(middle) >= total ? reached : below) = middle;
+    }
+    return reached;
+}
+
 spend_ceilings::spend_ceilings(spend_ceilings_options options)
     : options_{options}
     , interval_{options.interval}
@@ -59,6 +76,26 @@
     return lowest;
 }
 
+std::optional<time_ms> spend_ceilings::time_until_allowed(std::string_view account,
+                                                          token_count total, time_ms now) const
+{
+    auto publications = unacknowledged_;
+    publications.push_back(acknowledged_);
+    time_ms latest{0};
+    for (const auto& publication : publications) {
+        const auto ceiling = publication.ceilings.find(account);
+        if (ceiling == publication.ceilings.end()) {
+            continue;
+        }
+        const auto age = ceiling->second.age_of(total);
+        if (!age) {
+            return std::nullopt;
+        }
+        latest = std::max(latest, publication.sent_at + *age - now);
+    }
+    return latest;
+}
+
 bool spend_ceilings::allow(std::string_view account, token_count total, time_ms now)
 {
     const auto limit = bound(account, now);
@@ -75,13 +112,16 @@
     const auto demand_in = [&facts](time_ms time) {
         return static_cast<token_count>(facts.demand_per_ms * static_cast<double>(time.count()));
     };
+    const auto headroom =
+        std::min({std::max(demand_in(base_cover + write_time_), facts.min_headroom),
+                  facts.max_headroom, facts.max_early_headroom});
     const auto growth = std::max(
         static_cast<token_count>(growth_margin * static_cast<double>(demand_in(seconds(1)))),
         facts.min_headroom);
-    const auto max_growth = static_cast<double>(facts.max_headroom) * max_growth_factor /
+    const auto max_growth = std::min(static_cast<double>(facts.max_headroom) * max_growth_factor,
+                                     static_cast<double>(facts.max_early_headroom - headroom)) /
                             static_cast<double>(spend_ceiling::late_growth_after.count()) * 1000;
-    return {facts.total +
-                std::min(std::max(demand_in(base_cover), facts.min_headroom), facts.max_headroom),
+    return {facts.total + headroom,
             static_cast<double>(growth) < max_growth ? growth
                                                      : static_cast<token_count>(max_growth),
             std::max<token_count>(0, facts.stock) / stock_spend_time_s};
@@ -121,9 +161,11 @@
     requested_totals_.clear();
 }
 
-void spend_ceilings::acknowledged()
+void spend_ceilings::acknowledged(time_ms write_time)
 {
     in_flight_ = false;
+    // Falls slowly, as congestion comes in bursts.
+    write_time_ = std::min(max_write_time, std::max(write_time, write_time_ - write_time_ / 8));
     acknowledged_ = std::move(unacknowledged_.back());
     unacknowledged_.clear();
 }
--- a/modules/dispatch/spend_ceilings.h
+++ b/modules/dispatch/spend_ceilings.h
@@ -28,6 +28,9 @@
     /// Returns the bound in tokens at an age; a negative age counts as 0.
     [[nodiscard]] token_count at(time_ms age) const;
 
+    /// Returns the age at which the bound reaches `total`; nothing if it never does.
+    [[nodiscard]] std::optional<time_ms> age_of(token_count total) const;
+
     friend bool operator==(const spend_ceiling&, const spend_ceiling&) = default;
 };
 
@@ -49,6 +52,9 @@
     token_count max_headroom{max_token_count}; ///< limits what a killed process strands
     token_count stock{0};                      ///< granted and still available, beyond `total`
     bool is_spendable{true}; ///< false: all granted tokens are spent, so no ceiling is needed
+    /// Limits the headroom until the faster growth begins, and thereby what a process strands whose
+    /// successor starts before.
+    token_count max_early_headroom{max_token_count};
 
     friend bool operator==(const spend_facts&, const spend_facts&) = default;
 };
@@ -73,8 +79,9 @@
 
     /// Records that a planned write was sent.
     void sent(const ceiling_map& ceilings, time_ms now);
-    /// Records that the last write was acknowledged: only its ceilings apply from now on.
-    void acknowledged();
+    /// Records that the last write was acknowledged: only its ceilings apply from now on. The next
+    /// ones leave room for the demand of the time that a write takes.
+    void acknowledged(time_ms write_time = time_ms{0});
     /// Records that the last write failed or its response was lost. It may still take effect, so
     /// its ceilings apply in addition.
     void failed();
@@ -83,6 +90,11 @@
     /// `max_token_count` if it has no ceiling.
     [[nodiscard]] token_count bound(std::string_view account, time_ms when) const;
 
+    /// Returns after what time the ceilings allow `total` without a further write; nothing if they
+    /// never do.
+    [[nodiscard]] std::optional<time_ms> time_until_allowed(std::string_view account,
+                                                            token_count total, time_ms now) const;
+
     /// Sets the fleet size; the more instances there are, the less often each writes.
     void set_instances(std::int64_t instances);
 
@@ -105,6 +117,7 @@
     std::map<std::string, token_count, std::less<>> requested_totals_;
     bool in_flight_{false};
     time_ms sent_at_{};
+    time_ms write_time_{}; ///< recent ones, at most max_write_time
     bool ever_sent_{false};
 };
 
--- a/modules/dispatch/tests/account_budgets_tests.cpp
+++ b/modules/dispatch/tests/account_budgets_tests.cpp
@@ -1,4 +1,5 @@
 #include "dispatch/account_budgets.h"
+#include "dispatch/tests/memory_row_store.h"
 
 #include <CppUTest/TestHarness.h>
 #include <map>
@@ -7,52 +8,10 @@
 
 using namespace jujubevalve;
 
-namespace
-{
-/// In-memory store with conditional writes.
-class fake_store
-{
-public:
-    commit_result commit(const transaction& change, std::vector<table_row>& current)
-    {
-        commit_result done;
-        for (const auto& condition : change.conditions) {
-            auto& row = rows_[condition.key];
-            row.key = condition.key;
-            current.push_back(row);
-            if (row.version != condition.version) {
-                done.conflicts.push_back(condition.key);
-            }
-        }
-        if (!done.conflicts.empty()) {
-            done.outcome = commit_outcome::conflict;
-            return done;
-        }
-        ++version_;
-        for (const auto& write : change.writes) {
-            rows_[write.key] = {write.key, write.value, version_};
-            done.versions.push_back(version_);
-        }
-        done.outcome = commit_outcome::committed;
-        return done;
-    }
-
-    [[nodiscard]] std::vector<table_row> read(const std::string& key) const
-    {
-        const auto found = rows_.find(key);
-        return found == rows_.end() ? std::vector<table_row>{} : std::vector{found->second};
-    }
-
-private:
-    std::map<std::string, table_row> rows_;
-    std::int64_t version_{0};
-};
-} // namespace
-
 TEST_GROUP(account_budgets)
 {
     static constexpr token_count limit = 100'000;
-    fake_store store;
+    testing::memory_row_store store;
     time_ms now{100'000};
 
     static account_budget_options options()
--- a/modules/dispatch/tests/spend_tests.cpp
+++ b/modules/dispatch/tests/spend_tests.cpp
@@ -83,6 +83,29 @@
     CHECK(ceilings.bound("crew", now + time_ms{2500}) <= 1000 + 500 + 4 * 500);
 }
 
+// Load pattern: a large account's demand, of which a few seconds are several percent of its budget.
+// Processes that restart within seconds would strand that much each time.
+TEST(spend_ceilings, max_early_headroom_limits_base_and_growth_together)
+{
+    const spend_facts large{"crew", 1000, 10, 20.0, max_token_count, 50'000, true, 9000};
+    publish({large});
+    CHECK_EQUAL(1000 + 20 * 400, ceilings.bound("crew", now));
+    CHECK(ceilings.bound("crew", now + time_ms{2500}) <= 1000 + 9000);
+    CHECK(ceilings.bound("crew", now + seconds(5)) >= 1000 + 9000 + 20'000);
+}
+
+// Load pattern: an instance whose link is congested. Its requests would wait for each write.
+TEST(spend_ceilings, leave_room_for_the_demand_while_a_slow_write_is_in_flight)
+{
+    const spend_facts facts{"crew", 1000, 10, 2.0, max_token_count, 50'000, true, 1500};
+    const auto plan = ceilings.plan({facts}, now);
+    ceilings.sent(*plan, now);
+    ceilings.acknowledged(time_ms{300});
+    publish({facts}, time_ms{500});
+    CHECK_EQUAL(1000 + 2 * (400 + 300), ceilings.bound("crew", now));
+    CHECK(ceilings.bound("crew", now + time_ms{2500}) <= 1000 + 1500);
+}
+
 // Guards against refusing all requests during a long store outage.
 TEST(spend_ceilings, the_whole_stock_may_be_spent_in_a_long_outage)
 {
--- a/modules/gateway/call.cpp
+++ b/modules/gateway/call.cpp
@@ -158,7 +158,8 @@
                    exhausted ? "the prepaid budget does not cover the request"
                              : "no tokens of the prepaid budget can be had at present",
                    retry_after(exhausted ? refusal_cause::budget_exhausted
-                                         : refusal_cause::budget_unavailable));
+                                         : refusal_cause::budget_unavailable,
+                               outcome.room_expected_in));
         });
 }
 
--- a/modules/gateway/grant_service.cpp
+++ b/modules/gateway/grant_service.cpp
@@ -84,6 +84,15 @@
     return last_waiter_id_;
 }
 
+reserve_outcome grant_service::with_expected_room(const std::string& account, token_count tokens,
+                                                  reserve_outcome refusal)
+{
+    if (!refusal && !refusal.room_expected_in) {
+        refusal.room_expected_in = budgets_.room_expected_in(account, tokens, loop_.now());
+    }
+    return refusal;
+}
+
 void grant_service::cancel(std::uint64_t id)
 {
     waiters_.remove_if([id](const waiter& candidate) { return candidate.id == id; });
@@ -119,7 +128,10 @@
                    .add("available", facts.available)
                    .add("reserved", facts.reserved)
                    .add("free", facts.free)
+                   .add("limit", facts.limit)
                    .add("demand_per_s", static_cast<std::int64_t>(facts.demand_per_ms * 1000))
+                   .add("share_of_demand_percent",
+                        static_cast<std::int64_t>(budgets_.share_of_demand(account, now) * 100))
                    .add("room_below_ceiling", budgets_.headroom_below_ceiling(account, now))
                    .add("store_reachable", static_cast<int>(store_reachable_)),
                now);
@@ -192,12 +204,12 @@
     // Conditional on the row's version, so that an earlier write whose acknowledgement was lost
     // cannot take effect after this one.
     store_.commit({{{own_spend_key(), spend_row_version_}}, {{own_spend_key(), to_text(row)}}, {}},
-                  [this](const store_commit& done) {
+                  [this, now](const store_commit& done) {
                       const bool is_committed = done.outcome.outcome == commit_outcome::committed;
                       ceilings_unacknowledged_ = !is_committed;
                       if (is_committed) {
                           spend_row_version_ = done.outcome.versions.at(0);
-                          budgets_.ceilings().acknowledged();
+                          budgets_.ceilings().acknowledged(loop_.now() - now);
                           ceiling_pacer_.answered();
                       } else {
                           for (const auto& current_row : done.current) {
@@ -278,6 +290,9 @@
             if (!change.writes.empty()) {
                 const auto closed = parse_grant_row(change.writes.front().value);
                 fields.add("charged", closed ? closed->granted : 0);
+                // What the predecessor may have spent after it wrote its ceilings.
+                const auto& ceiling = predecessor.ceilings.begin()->second;
+                fields.add("charged_by_age", ceiling.at(age) - ceiling.base);
             }
             log_.write("reclaimed", fields, loop_.now());
             return;
--- a/modules/gateway/grant_service.h
+++ b/modules/gateway/grant_service.h
@@ -45,6 +45,10 @@
     std::uint64_t reserve(const std::string& account, token_count tokens, time_ms max_wait,
                           reserve_callback callback);
 
+    /// Returns a refusal with the time after which the request is expected to get its tokens.
+    [[nodiscard]] reserve_outcome with_expected_room(const std::string& account, token_count tokens,
+                                                     reserve_outcome refusal);
+
     /// Cancels a waiting request; its callback is not called.
     void cancel(std::uint64_t waiter);
 
--- a/modules/gateway/peer_messages.cpp
+++ b/modules/gateway/peer_messages.cpp
@@ -51,7 +51,11 @@
     }
     json operator()(const tokens_reserved& message) const
     {
-        return json::array({message.number, static_cast<int>(message.code)});
+        auto fields = json::array({message.number, static_cast<int>(message.code)});
+        if (message.room_expected_in) {
+            fields.push_back(message.room_expected_in->count());
+        }
+        return fields;
     }
     json operator()(const end_reservation& message) const
     {
@@ -171,7 +175,9 @@
         return reserve_tokens{fields.at(0).get<std::uint64_t>(), fields.at(1).get<std::string>(),
                               read_tokens(fields.at(2)), read_wait(fields.at(3))};
     case 2:
-        return tokens_reserved{fields.at(0).get<std::uint64_t>(), read_code(fields.at(1))};
+        return tokens_reserved{fields.at(0).get<std::uint64_t>(), read_code(fields.at(1)),
+                               fields.size() > 2 ? std::optional{read_wait(fields.at(2))}
+                                                 : std::nullopt};
     case 3:
         return end_reservation{fields.at(0).get<std::uint64_t>(),
                                fields.at(1).is_null() ? std::nullopt
--- a/modules/gateway/peer_messages.h
+++ b/modules/gateway/peer_messages.h
@@ -36,6 +36,8 @@
 struct tokens_reserved {
     std::uint64_t number{0};
     result_code code{result_code::ok}; ///< the reason for a refusal
+    /// After a refusal: when the home expects to have the tokens; nothing if unknown.
+    std::optional<time_ms> room_expected_in{};
 
     friend bool operator==(const tokens_reserved&, const tokens_reserved&) = default;
 };
--- a/modules/gateway/reservation_service.cpp
+++ b/modules/gateway/reservation_service.cpp
@@ -189,7 +189,9 @@
                     owner.grants_.log_refusal(
                         found->second->borrower_ + "/" + std::to_string(number), account, tokens);
                 }
-                found->second->link_.send(tokens_reserved{number, outcome.code});
+                const auto answer = owner.grants_.with_expected_room(account, tokens, outcome);
+                found->second->link_.send(
+                    tokens_reserved{number, answer.code, answer.room_expected_in});
             });
     }
 
@@ -390,9 +392,14 @@
     const auto found = waiters_.find(id);
     loop_.cancel(found->second.timer);
     waiters_by_number_.erase(found->second.number);
-    const auto callback = std::move(found->second.callback);
+    const auto waiting = std::move(found->second);
     waiters_.erase(found);
-    callback(outcome);
+    auto answer = grants_.with_expected_room(waiting.account, waiting.tokens, outcome);
+    if (!answer && waiting.room_expected_at) {
+        const auto at_home = std::max(*waiting.room_expected_at - loop_.now(), time_ms{0});
+        answer.room_expected_in = std::min(answer.room_expected_in.value_or(at_home), at_home);
+    }
+    waiting.callback(answer);
 }
 
 void reservation_service::home_answered(const tokens_reserved& answer, const std::string& address)
@@ -416,6 +423,9 @@
     }
     loop_.cancel(std::exchange(entry.timer, 0));
     waiters_by_number_.erase(std::exchange(entry.number, 0));
+    if (answer.room_expected_in) {
+        entry.room_expected_at = loop_.now() + *answer.room_expected_in;
+    }
     ask_next_home(id);
 }
 
--- a/modules/gateway/reservation_service.h
+++ b/modules/gateway/reservation_service.h
@@ -92,6 +92,7 @@
         std::uint64_t number{0};           ///< of the message to it; 0: waits for the own grant
         std::uint64_t grant_wait{0};       ///< id in grant_service
         timer_id timer{0};
+        std::optional<time_ms> room_expected_at{}; ///< as a home that refused has told
     };
 
     /// A reservation at a home.
