--- a/modules/dispatch/tests/account_budgets_tests.cpp
+++ b/modules/dispatch/tests/account_budgets_tests.cpp
@@ -148,6 +148,49 @@
     }
 }
 
+// Load pattern: the store is away and callers meet a ceiling that rises slowly. If all were told
+// to return when it has room for one of them, the others would be refused again.
+TEST(account_budgets, refused_callers_are_told_when_there_is_room_behind_the_earlier_ones)
+{
+    const auto a = std::make_unique<account_budgets>("a", options());
+    a->set_limits({{"crew", 10'000'000}}, now);
+    for (int i = 0; i < 20; ++i) {
+        if (const auto got = a->reserve("crew", 5'000, now)) {
+            a->settle(got.id, 5'000, now);
+        }
+        run_steps(*a);
+    }
+    a->set_store_reachable(false);
+    auto refused = reserve_outcome{};
+    while ((refused = a->reserve("crew", 5'000, now))) {
+        a->settle(refused.id, 5'000, now);
+    }
+    const auto first = a->room_expected_in("crew", 5'000, now);
+    const auto second = a->room_expected_in("crew", 5'000, now);
+    CHECK(first && second);
+    CHECK(time_ms{0} < *first);
+    CHECK(*first < *second);
+    now = now + *second;
+    CHECK(a->reserve("crew", 5'000, now).id != 0);
+    CHECK(a->reserve("crew", 5'000, now).id != 0);
+}
+
+// Guards against judging a surplus by an old ledger row: the holder would keep what others lack.
+TEST(account_budgets, a_holder_reads_the_ledger_when_others_lack_tokens)
+{
+    const auto standby = instance("standby");
+    standby->set_roles([](std::string_view /*account*/) { return grant_role::standby; }, now);
+    run_steps(*standby);
+    const auto held = standby->book().available("crew");
+    CHECK(held > limit / 20);
+    const auto home = instance("home");
+    home->set_roles([](std::string_view /*account*/) { return grant_role::home; }, now);
+    spend_all(*home, 1000, 200);
+    standby->record_peer_shortage("crew", now);
+    run_steps(*standby); // 400 ms
+    CHECK(standby->book().available("crew") < held / 4);
+}
+
 // Guards against a raised limit that takes effect only after a restart.
 TEST(account_budgets, a_raised_limit_can_be_spent)
 {
--- a/modules/dispatch/tests/grant_stock_policy_tests.cpp
+++ b/modules/dispatch/tests/grant_stock_policy_tests.cpp
@@ -58,6 +58,19 @@
     CHECK_EQUAL(-5'000, policy.wanted(facts));
 }
 
+// Load pattern: one instance serves nearly all demand of an account and has drawn the rest of the
+// ledger. What lies at the others has to come back before it runs out.
+TEST(grant_stock_policy, a_shortage_is_told_ahead)
+{
+    auto facts = scarce_facts();
+    facts.free = 0;
+    facts.demand_per_ms = 100;
+    facts.available = 300'000;
+    CHECK_FALSE(policy.is_short_of_tokens(facts));
+    facts.available = 200'000; // 2 s of demand
+    CHECK(policy.is_short_of_tokens(facts));
+}
+
 // Guards against treating a budget with plenty left as scarce because of one very large request.
 TEST(grant_stock_policy, a_single_large_request_does_not_make_a_budget_scarce)
 {
--- a/modules/gateway/tests/peer_messages_tests.cpp
+++ b/modules/gateway/tests/peer_messages_tests.cpp
@@ -11,6 +11,7 @@
 TEST_GROUP(peer_messages){static std::vector<peer_message> samples(){
     return {peer_hello{"edge-1-0a"}, reserve_tokens{1, "crew", 9'000, time_ms{120}},
             tokens_reserved{1, result_code::ok}, tokens_reserved{2, result_code::budget_exhausted},
+            tokens_reserved{3, result_code::budget_unavailable, time_ms{700}},
             end_reservation{3, 4'500}, end_reservation{4, std::nullopt}, reservation_ended{5},
             share_notices{{crash_notice{1, 2, time_ms{3}, {{4, 5}, {}}},
                            sound_notice{0xffff'ffff'ffff'ffff, time_ms{6}},
