--- a/modules/dispatch/account_budgets.cpp
+++ b/modules/dispatch/account_budgets.cpp
@@ -28,13 +28,13 @@
 /// per instance are free of the budget. Killing all instances then strands about 1/20 of that.
 constexpr std::int64_t ample_free_requests = 20;
 /// Killing all holders of a budget that restart soon strands at most 1/80 of the budget, and a
-/// standby 1/400 of it, once less than 1/4 is left: callers count on nearly all that was paid for.
-/// While more is left, 1/4 of what exceeds that may be stranded in addition, since the headroom
+/// standby 1/400 of it, once less than 1/8 is left: callers count on nearly all that was paid for.
+/// While more is left, 1/2 of what exceeds that may be stranded in addition, since the headroom
 /// serves callers in an outage of the store.
 constexpr std::int64_t max_stranded_divisor = 80;
 constexpr std::int64_t max_stranded_at_standby_divisor = 400;
-constexpr std::int64_t ample_remaining_divisor = 4;
-constexpr std::int64_t spare_divisor = 4;
+constexpr std::int64_t ample_remaining_divisor = 8;
+constexpr std::int64_t spare_divisor = 2;
 /// The base of a ceiling strands at most 1/16 of what is left of a budget.
 constexpr std::int64_t max_stranded_of_remaining_divisor = 16;
 
