The pace and the average load of shared machines enter the cost of a prompt

The cost of a running request was 3 ms wherever it ran, and a report older than 1.5 s counted as no load. Small prompts so go where little work waits, and large ones stay with their blocks. Servers that report no slowness are chosen as before: the figure is optional in server_load, and the pace unknown without it.

Without the change the test of the small prompts fails.

--- a/modules/dispatch/call_request.h
+++ b/modules/dispatch/call_request.h
@@ -56,11 +56,9 @@
     std::int64_t running{0};
     std::int64_t waiting{0};
     std::int64_t slots{0};
-    /// How long work takes at the server now, in percent of its usual time. Servers that share
+    /// How long work takes at the server now, in percent of its usual time. Only servers that share
     /// their machines with others report it; it changes many times a second.
-    std::int64_t slowness_percent{usual_slowness_percent};
-
-    static constexpr std::int64_t usual_slowness_percent = 100;
+    std::optional<std::int64_t> slowness_percent{};
 
     friend bool operator==(const server_load&, const server_load&) = default;
 };
--- a/modules/dispatch/server_choice.cpp
+++ b/modules/dispatch/server_choice.cpp
@@ -134,12 +134,13 @@
     if (!server.report) {
         return own;
     }
+    const auto otherwise = std::max(own, server.pace.average_load());
     const auto age = static_cast<double>((now - server.report_received_at).count());
     const auto max_age = static_cast<double>(options_.load_report_max_age.count());
     const auto weight = std::max(0.0, 1 - age / max_age);
     const auto reported = static_cast<double>(server.report->running + server.report->waiting) +
                           static_cast<double>(server.sent_since_report);
-    return std::max(own, weight * reported + (1 - weight) * own);
+    return std::max(own, weight * reported + (1 - weight) * otherwise);
 }
 
 double server_choice::plain_cost(const server_state& server, time_ms now)
@@ -158,7 +159,14 @@
     const auto overload_cost = load >= slots ? 1000.0 * (load - slots + 1) : 0.0;
     return static_cast<double>(prefill_tokens + server.own_prefill_tokens) /
                options_.prefill_tokens_per_ms +
-           options_.cost_per_running_request_ms * load + overload_cost;
+           expected_delay_ms(server, load) + overload_cost;
+}
+
+double server_choice::expected_delay_ms(const server_state& server, double load) const
+{
+    return server.pace.is_known() ? options_.delay_per_average_request_ms *
+                                        server.pace.slowness(1) * server.pace.average_load()
+                                  : options_.cost_per_running_request_ms * load;
 }
 
 double server_choice::domain_cost(const server_state& server) const
--- a/modules/dispatch/server_choice.h
+++ b/modules/dispatch/server_choice.h
@@ -18,9 +18,12 @@
     std::string failure_domain;            ///< of this instance
     double prefill_tokens_per_ms{45};      ///< prefill rate of an engine
     double cost_per_running_request_ms{3}; ///< delay that each running request adds to a new one
-    double cross_domain_cost_ms{6};        ///< penalty for leaving this instance's failure domain
-    time_ms load_report_max_age{1500};     ///< age at which a load report has lost all its weight
-    time_ms cache_ttl{20'000}; ///< a prompt block counts as evicted if unused for this long
+    /// The same for each request of the average load of a server that shares its machine, if work
+    /// takes its usual time there: the time of the prefills that it mostly has to wait for.
+    double delay_per_average_request_ms{10};
+    double cross_domain_cost_ms{6};    ///< penalty for leaving this instance's failure domain
+    time_ms load_report_max_age{1500}; ///< age at which a load report has lost all its weight
+    time_ms cache_ttl{20'000};         ///< a prompt block counts as evicted if unused for this long
     std::size_t max_tracked_blocks{4096}; ///< pairs of prompt block and server
 };
 
@@ -52,6 +55,8 @@
     [[nodiscard]] double plain_cost(const server_state& server, time_ms now);
     [[nodiscard]] double generation_cost(const server_state& server, token_count prefill_tokens,
                                          time_ms now) const;
+    /// Estimates how long the `load` of the server delays a new request.
+    [[nodiscard]] double expected_delay_ms(const server_state& server, double load) const;
     [[nodiscard]] double domain_cost(const server_state& server) const;
     [[nodiscard]] bool is_cached(const server_state& server, std::uint64_t block_id,
                                  time_ms now) const;
--- a/modules/dispatch/server_directory.cpp
+++ b/modules/dispatch/server_directory.cpp
@@ -204,7 +204,7 @@
 {
     if (auto* const state = find(id)) {
         state->report = load;
-        state->pace.add(load.slowness_percent);
+        state->pace.add(load);
         state->report_received_at = now;
         state->sent_since_report = 0;
     }
--- a/modules/dispatch/tests/server_pace_tests.cpp
+++ b/modules/dispatch/tests/server_pace_tests.cpp
@@ -116,6 +116,29 @@
     CHECK(moved <= 4);
 }
 
+// Load pattern: small prompts beside large ones at servers that differ in pace. Guards against
+// short requests that wait at slow servers although nothing holds them there.
+TEST(server_pace, small_prompts_go_where_little_work_waits)
+{
+    instance reader{1};
+    reader.read_reports(10);
+    for (std::uint64_t session = 10; session < 110; ++session) {
+        const generation_request prompt{700, 200, {{session, 150}, {1'000'000 + session, 550}}};
+        const auto* const server =
+            reader.choice.choose(reader.servers.candidates("models"), &prompt, {}, reader.now);
+        CHECK(server->pace.slowness(1) < 1);
+    }
+}
+
+// Guards against other choices where servers report no slowness.
+TEST(server_pace, reports_without_slowness_leave_the_pace_unknown)
+{
+    server_pace pace;
+    pace.add({4, 0, 16, std::nullopt});
+    CHECK_FALSE(pace.is_known());
+    DOUBLES_EQUAL(0, pace.average_load(), 0);
+}
+
 // Load pattern: a machine that turns slow for good. Guards against a pace that is never learned
 // again.
 TEST(server_pace, a_lasting_change_shows_after_some_reports)
@@ -123,11 +146,13 @@
     server_pace pace;
     DOUBLES_EQUAL(0.7, pace.slowness(0.7), 1e-9);
     for (int i = 0; i < 40; ++i) {
-        pace.add(60);
+        pace.add({4, 0, 16, 60});
     }
     DOUBLES_EQUAL(0.6, pace.slowness(1), 1e-9);
     for (int i = 0; i < 8; ++i) {
-        pace.add(240);
+        pace.add({4, 2, 16, 240});
     }
     DOUBLES_EQUAL(2.4, pace.slowness(1), 1e-9);
+    CHECK(pace.average_load() > 4.2);
+    CHECK(pace.average_load() < 6);
 }
