--- a/modules/dispatch/server_choice.h
+++ b/modules/dispatch/server_choice.h
@@ -19,8 +19,8 @@
     double prefill_tokens_per_ms{45};      ///< prefill rate of an engine
     double cost_per_running_request_ms{3}; ///< delay that each running request adds to a new one
     /// The same for each request of the average load of a server that shares its machine, if work
-    /// takes its usual time there: the time of the prefills that it mostly has to wait for.
-    double delay_per_average_request_ms{10};
+    /// takes its usual time there: about a step of an engine.
+    double delay_per_average_request_ms{5};
     double cross_domain_cost_ms{6};    ///< penalty for leaving this instance's failure domain
     time_ms load_report_max_age{1500}; ///< age at which a load report has lost all its weight
     time_ms cache_ttl{20'000};         ///< a prompt block counts as evicted if unused for this long
