jujubevalve-ctl check: a configuration before it is sent

Cause: an operator learned of errors in a configuration only when requests failed; routes that are hidden by others, keys of two accounts and limits that contradict each other are taken in silence.

--- a/apps/ctl/main.cpp
+++ b/apps/ctl/main.cpp
@@ -1,9 +1,14 @@
 #include "core/clock.h"
 #include "core/settings.h"
+#include "ctl/check_command.h"
 #include "ctl/handover_check.h"
 #include "ctl/handover_commands.h"
 #include "ctl/table_commands.h"
 #include "ctl/view_commands.h"
+#include "net/event_loop.h"
+#include "platform/config_codec.h"
+#include "platform/store_client.h"
+#include "platform/wire_names.h"
 
 #include <chrono>
 #include <exception>
@@ -26,6 +31,9 @@
 DEFINE_int64(term, 0, "handover begin, init: the new term; apply: the term that must be in force");
 DEFINE_int64(limit, 50, "versions, audit: number of entries to show");
 DEFINE_int64(max_segments, 1000, "budgets: segments to read for each incarnation");
+DEFINE_string(in_force, "", "check: file with the configuration in force, for the differences");
+DEFINE_string(store, "", "check: ip:port of the store that holds the configuration in force");
+DEFINE_bool(strict, false, "check: warnings fail the check, too");
 DEFINE_int64(timeout_ms, 5000, "time-out of each call to the platform");
 
 using namespace jujubevalve;
@@ -38,6 +46,9 @@
   fetch routes|pools|all  print the tables in force as a table file
   validate FILE           check a table file; a table it lacks is read from the platform
   diff FILE               show what applying the file would change
+  check FILE              check a configuration of the entry instances before it is sent: errors,
+                          entries that never match, limits that contradict each other, and what
+                          differs from the one in force (--in_force or --store)
   apply FILE --base=N     apply a file that was edited from version N
   budgets                 limit, granted, spent and free tokens of each budget
   instances               incarnations of the fleet and their state
@@ -53,7 +64,7 @@
 
 Exit codes:
   0  ok
-  1  refused, or handover check found a disagreement
+  1  refused, or a check found errors
   2  wrong usage
   3  platform unavailable, nothing was changed
   4  outcome unknown: a change may have taken effect; repeat as the message says
@@ -77,6 +88,9 @@
     if (!FLAGS_platform.empty()) {
         check.address("platform", FLAGS_platform);
     }
+    if (!FLAGS_store.empty()) {
+        check.address("store", FLAGS_store);
+    }
     check.range("base", FLAGS_base, -1, 999'999'999'999);
     check.range("term", FLAGS_term, 0, INT64_MAX);
     check.range("limit", FLAGS_limit, 1, max_listed);
@@ -155,6 +169,54 @@
     return begin_handover(context, FLAGS_term, FLAGS_new_operator);
 }
 
+// Reads the configuration that is in force from the store of the entry instances.
+result<std::string> fetch_config_in_force()
+{
+    event_loop loop;
+    store_client store{loop, {FLAGS_store, time_ms{FLAGS_timeout_ms}, time_ms{FLAGS_timeout_ms}}};
+    result<std::string> text = failure{result_code::platform_unavailable,
+                                       "the store at " + FLAGS_store + " has not answered"};
+    const std::string table{wire::operator_table};
+    const std::string key{wire::config_key};
+    store.read(table, "", key, key + '\0', [&](const result<row_page>& page) {
+        if (!page) {
+            text = page.error();
+        } else if (page->rows.empty()) {
+            text = failure{result_code::platform_unavailable, "the store has no configuration"};
+        } else {
+            text = page->rows.front().row.value;
+        }
+        loop.stop();
+    });
+    loop.run();
+    return text;
+}
+
+command_result run_check(const std::string& operand)
+{
+    if (operand.empty()) {
+        return wrong_usage("check: the file is missing");
+    }
+    if (!FLAGS_in_force.empty() && !FLAGS_store.empty()) {
+        return wrong_usage("check: --in_force and --store exclude each other");
+    }
+    const auto file = read_file(operand);
+    check_input input{operand, file, std::nullopt, FLAGS_json, FLAGS_strict};
+    if (!FLAGS_in_force.empty() || !FLAGS_store.empty()) {
+        const auto text = FLAGS_store.empty() ? result<std::string>{read_file(FLAGS_in_force)}
+                                              : fetch_config_in_force();
+        if (!text) {
+            return failed(FLAGS_json, {text.error()});
+        }
+        auto in_force = decode_config(*text);
+        if (!in_force) {
+            return failed(FLAGS_json, {in_force.error()});
+        }
+        input.in_force = std::move(in_force).value();
+    }
+    return check_config_file(input);
+}
+
 command_result run_command(const ctl_context& context, const std::string& command,
                            const std::string& operand)
 {
@@ -192,6 +254,9 @@
     if (operands.empty() || operands.size() > 2) {
         return wrong_usage("expected a command and at most one operand");
     }
+    if (operands.front() == "check") {
+        return run_check(operands.size() == 2 ? operands[1] : "");
+    }
     if (FLAGS_platform.empty() && operands.front() != "validate") {
         return wrong_usage("--platform is required");
     }
--- a/modules/dispatch/fleet_config.cpp
+++ b/modules/dispatch/fleet_config.cpp
@@ -7,23 +7,19 @@
 namespace jujubevalve
 {
 
-namespace
+std::string host_name(std::string_view host)
 {
-// Host names are case-insensitive, and a port in the Host header is not part of the name.
-std::string host_key(std::string_view host)
-{
-    std::string key{host.substr(0, host.find(':'))};
-    std::transform(key.begin(), key.end(), key.begin(),
+    std::string name{host.substr(0, host.find(':'))};
+    std::transform(name.begin(), name.end(), name.begin(),
                    [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return key;
+    return name;
 }
-} // namespace
 
 fleet_config::fleet_config(fleet_config_content content)
     : content_{std::move(content)}
 {
     for (const auto& route : content_.routes) {
-        routes_by_host_[host_key(route.host)].push_back(&route);
+        routes_by_host_[host_name(route.host)].push_back(&route);
     }
     for (auto& [host, routes] : routes_by_host_) {
         std::stable_sort(routes.begin(), routes.end(), [](const auto* a, const auto* b) {
@@ -44,7 +40,7 @@
 
 const call_route* fleet_config::find_route(std::string_view host, std::string_view path) const
 {
-    const auto found = routes_by_host_.find(host_key(host));
+    const auto found = routes_by_host_.find(host_name(host));
     if (found == routes_by_host_.end()) {
         return nullptr;
     }
--- a/modules/dispatch/fleet_config.h
+++ b/modules/dispatch/fleet_config.h
@@ -103,6 +103,10 @@
     friend bool operator==(const fleet_config_content&, const fleet_config_content&) = default;
 };
 
+/// Returns the name that a Host header or a route's host stands for: in lower case, as host names
+/// are case-insensitive, and without a port.
+[[nodiscard]] std::string host_name(std::string_view host);
+
 /// An immutable version of the configuration, indexed for lookups.
 class fleet_config
 {
