What a server holds of a prompt follows from its memory, and ends with its restart

Cause: a prompt block counted as cached at a server for 20 s after its last use, whatever the engine's memory and however much was read there since, and also after the server had restarted. Change: prompt_cache_model counts the tokens that go to each incarnation of a server against the memory that the configuration names, scaled by the load of the other instances that servers report. Costs learned from answers were tried and left out (docs/design/cached-prompts.md).

--- a/modules/dispatch/server_choice.cpp
+++ b/modules/dispatch/server_choice.cpp
@@ -87,6 +87,7 @@
 server_choice::server_choice(server_choice_options options, std::uint64_t seed)
     : options_{std::move(options)}
     , random_{static_cast<std::minstd_rand::result_type>(seed)}
+    , cache_{options_.cache}
 {
 }
 
@@ -99,6 +100,9 @@
     const auto preferred = shared_block == nullptr
                                ? std::array<const server_state*, preferred_server_count>{}
                                : preferred_servers(candidates, shared_block->id);
+    if (generation != nullptr && !candidates.empty()) {
+        note_own_load(candidates);
+    }
     server_state* best = nullptr;
     double lowest_cost = std::numeric_limits<double>::max();
     for (auto* const server : candidates) {
@@ -109,7 +113,7 @@
         if (generation == nullptr) {
             cost = plain_cost(*server, now);
         } else {
-            auto prefill_tokens = estimate_prefill_tokens(*server, *generation, now);
+            auto prefill_tokens = estimate_prefill_tokens(*server, *generation);
             const bool is_preferred = server == preferred[0] || server == preferred[1];
             if (is_preferred) {
                 prefill_tokens = std::min(prefill_tokens, generation->parts.back().tokens);
@@ -176,47 +180,40 @@
 }
 
 token_count server_choice::estimate_prefill_tokens(const server_state& server,
-                                                   const generation_request& generation,
-                                                   time_ms now) const
+                                                   const generation_request& generation) const
 {
-    token_count cached = 0;
-    for (std::size_t i = 0; i + 1 < generation.parts.size(); ++i) {
-        if (!is_cached(server, generation.parts[i].id, now)) {
-            break;
-        }
-        cached += generation.parts[i].tokens;
-    }
-    return std::max<token_count>(0, generation.prompt_tokens - cached);
+    return std::max<token_count>(0,
+                                 generation.prompt_tokens - cache_.held_tokens(server, generation));
 }
 
-bool server_choice::is_cached(const server_state& server, std::uint64_t block_id, time_ms now) const
+void server_choice::remember(const server_state& server, const generation_request& generation)
 {
-    const auto found = cached_blocks_.find(block_server_hash(block_id, server));
-    return found != cached_blocks_.end() && now - found->second < options_.cache_ttl;
+    cache_.remember(server, generation);
 }
 
-void server_choice::remember(const server_state& server, const generation_request& generation,
-                             time_ms now)
+void server_choice::note_own_load(const std::vector<server_state*>& servers)
 {
-    for (std::size_t i = 0; i + 1 < generation.parts.size(); ++i) {
-        cached_blocks_[block_server_hash(generation.parts[i].id, server)] = now;
+    double running = 0;
+    for (const auto* const server : servers) {
+        running += static_cast<double>(server->own_running);
     }
-    if (cached_blocks_.size() > options_.max_tracked_blocks) {
-        evict_oldest();
+    cache_.note_own(servers.front()->entry.service, running / static_cast<double>(servers.size()));
+}
+
+void server_choice::note_report(const server_state& server)
+{
+    if (server.report) {
+        cache_.note_others(server.entry.service, server.report->running - server.own_running);
     }
 }
 
-void server_choice::evict_oldest()
+void server_choice::set_engines(const std::vector<service_options>& services)
 {
-    std::vector<time_ms> uses;
-    uses.reserve(cached_blocks_.size());
-    for (const auto& [hash, used] : cached_blocks_) {
-        uses.push_back(used);
+    for (const auto& service : services) {
+        if (service.engine) {
+            cache_.set_memory(service.name, service.engine->memory_tokens);
+        }
     }
-    const auto median = uses.begin() + static_cast<std::ptrdiff_t>(uses.size() / 2);
-    std::nth_element(uses.begin(), median, uses.end());
-    std::erase_if(cached_blocks_,
-                  [limit = *median](const auto& item) { return item.second < limit; });
 }
 
 } // namespace jujubevalve
--- a/modules/dispatch/server_choice.h
+++ b/modules/dispatch/server_choice.h
@@ -2,12 +2,13 @@
 
 #include "core/time_ms.h"
 #include "dispatch/call_request.h"
+#include "dispatch/fleet_config.h"
+#include "dispatch/prompt_cache_model.h"
 #include "dispatch/server_directory.h"
 
 #include <cstdint>
 #include <random>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace jujubevalve
@@ -23,8 +24,7 @@
     double delay_per_average_request_ms{5};
     double cross_domain_cost_ms{6};    ///< penalty for leaving this instance's failure domain
     time_ms load_report_max_age{1500}; ///< age at which a load report has lost all its weight
-    time_ms cache_ttl{20'000};         ///< a prompt block counts as evicted if unused for this long
-    std::size_t max_tracked_blocks{4096}; ///< pairs of prompt block and server
+    prompt_cache_options cache{};
 };
 
 /// Chooses a server for a request. Prompts go to a server that has their shared blocks cached,
@@ -43,11 +43,16 @@
 
     /// Returns the prompt tokens that the server probably has not cached and must prefill.
     [[nodiscard]] token_count estimate_prefill_tokens(const server_state& server,
-                                                      const generation_request& generation,
-                                                      time_ms now) const;
+                                                      const generation_request& generation) const;
 
-    /// Records that the shared blocks of the prompt are now cached at the server.
-    void remember(const server_state& server, const generation_request& generation, time_ms now);
+    /// Records that the request is sent to the server: its shared blocks are cached there then.
+    void remember(const server_state& server, const generation_request& generation);
+
+    /// Sets the engines' memory that the configuration names.
+    void set_engines(const std::vector<service_options>& services);
+
+    /// Records the load report that a server has just sent.
+    void note_report(const server_state& server);
 
 private:
     /// Estimates the requests that run or wait at the server.
@@ -57,14 +62,12 @@
                                          time_ms now) const;
     /// Estimates how long the `load` of the server delays a new request.
     [[nodiscard]] double expected_delay_ms(const server_state& server, double load) const;
+    void note_own_load(const std::vector<server_state*>& servers);
     [[nodiscard]] double domain_cost(const server_state& server) const;
-    [[nodiscard]] bool is_cached(const server_state& server, std::uint64_t block_id,
-                                 time_ms now) const;
-    void evict_oldest();
 
     server_choice_options options_;
     std::minstd_rand random_;
-    std::unordered_map<std::uint64_t, time_ms> cached_blocks_; ///< last use, by block_server_hash
+    prompt_cache_model cache_;
 };
 
 } // namespace jujubevalve
--- a/modules/gateway/call.cpp
+++ b/modules/gateway/call.cpp
@@ -223,16 +223,15 @@
     tried_servers_.push_back(server_id_);
     const auto now = context_.loop.now();
     unread_prompt_tokens_ =
-        request_.generation
-            ? context_.choice.estimate_prefill_tokens(server, *request_.generation, now)
-            : 0;
+        request_.generation ? context_.choice.estimate_prefill_tokens(server, *request_.generation)
+                            : 0;
     forwarded_fields fields;
     fields.time_left = time_left();
     fields.expected_server = server_id_;
     fields.account = account_;
     if (request_.generation) {
         fields.priority = std::clamp(priority_.value_or(default_priority), 0, 9);
-        context_.choice.remember(server, *request_.generation, now);
+        context_.choice.remember(server, *request_.generation);
     }
     fields.resume_after = last_event_;
     context_.view.servers().started(server_id_, unread_prompt_tokens_);
--- a/modules/gateway/call_response.cpp
+++ b/modules/gateway/call_response.cpp
@@ -84,6 +84,9 @@
     context_.view.servers().note_received(server_id_, context_.loop.now());
     if (response_.load) {
         context_.view.servers().reported(server_id_, *response_.load, context_.loop.now());
+        if (const auto* const server = context_.view.servers().find(server_id_)) {
+            context_.choice.note_report(*server);
+        }
     }
     record_rate_limit();
     in_stream_ = is_success(response_.status) && may_have_body(response_.status) &&
--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -256,6 +256,7 @@
             }
         }
         grants_.set_limits(limits);
+        choice_.set_engines(config.content().services);
         update_serving();
     }
 
