Instances that are cut off from the store spread over the relays of large machines

Cause: all of them took the same relay, the first by name. Change: instance_registry::relays lists the instances of the address list first, in an order that differs between those that ask. The new test was not run on the code before, which lists one order for all.

--- a/modules/dispatch/instance_registry.cpp
+++ b/modules/dispatch/instance_registry.cpp
@@ -1,6 +1,10 @@
 #include "dispatch/instance_registry.h"
 
+#include "core/digest.h"
+
 #include <algorithm>
+#include <set>
+#include <tuple>
 #include <utility>
 
 namespace jujubevalve
@@ -146,23 +150,41 @@
     return found;
 }
 
-std::vector<std::string> instance_registry::relays(time_ms now) const
+// Instances that are cut off from the store all need the same rows at the same time. One relay
+// could not pass them on to many, least of all over a small machine's link.
+std::vector<std::string> instance_registry::relays(const instance_heartbeat& own, time_ms now) const
 {
-    std::vector<std::string> found;
-    if (digest_) {
-        for (const auto& heartbeat : digest_->listed) {
-            if (!heartbeat.relay.empty() && heartbeat.instance != own_instance_) {
-                found.push_back(heartbeat.relay);
-            }
+    struct relay {
+        bool is_listed{false};
+        std::uint64_t weight{0}; ///< another order at each instance
+        std::string address;
+    };
+    std::vector<relay> found;
+    const auto add = [&](const instance_heartbeat& heartbeat, bool is_listed) {
+        if (!heartbeat.relay.empty() && heartbeat.instance != own_instance_) {
+            found.push_back(
+                {is_listed, hash64(own_instance_, hash64(heartbeat.instance)), heartbeat.relay});
         }
-        return found;
+    };
+    std::set<std::string_view> listed_instances;
+    for (const auto* heartbeat : listed(own, now)) {
+        listed_instances.insert(heartbeat->instance);
+        add(*heartbeat, true);
     }
     for (const auto& [instance, tracked] : peers_) {
-        if (!tracked.heartbeat.relay.empty() && is_live(tracked, now)) {
-            found.push_back(tracked.heartbeat.relay);
+        if (is_live(tracked, now) && !listed_instances.contains(instance)) {
+            add(tracked.heartbeat, false);
         }
     }
-    return found;
+    std::sort(found.begin(), found.end(), [](const relay& a, const relay& b) {
+        return std::tuple{!a.is_listed, a.weight} < std::tuple{!b.is_listed, b.weight};
+    });
+    std::vector<std::string> addresses;
+    addresses.reserve(found.size());
+    for (auto& each : found) {
+        addresses.push_back(std::move(each.address));
+    }
+    return addresses;
 }
 
 account_demand instance_registry::demand_elsewhere(const instance_heartbeat& own, time_ms now) const
--- a/modules/dispatch/instance_registry.h
+++ b/modules/dispatch/instance_registry.h
@@ -88,8 +88,9 @@
     [[nodiscard]] std::vector<std::string> addresses(const instance_heartbeat& own,
                                                      time_ms now) const;
 
-    /// Returns the addresses at which the other live instances relay calls to the store.
-    [[nodiscard]] std::vector<std::string> relays(time_ms now) const;
+    /// Returns the addresses at which the other live instances relay calls to the store: those in
+    /// the address list first, in an order that differs between the instances that ask.
+    [[nodiscard]] std::vector<std::string> relays(const instance_heartbeat& own, time_ms now) const;
 
     /// Returns the total demand of the other live instances, by account.
     [[nodiscard]] account_demand demand_elsewhere(const instance_heartbeat& own, time_ms now) const;
--- a/modules/dispatch/tests/dispatch_tests.cpp
+++ b/modules/dispatch/tests/dispatch_tests.cpp
@@ -342,6 +342,32 @@
     CHECK_EQUAL(1U, listed_count());
 }
 
+// Guards against all instances that are cut off from the store using the relay of the same one, or
+// that of a small machine while large ones are there.
+TEST(instance_registry, instances_that_are_cut_off_spread_over_the_relays_of_large_machines)
+{
+    std::map<std::string, int> first_choices;
+    for (int i = 0; i < 60; ++i) {
+        const auto own = "small-" + std::to_string(i);
+        instance_registry registry{own, {}};
+        for (int other = 0; other < 66; ++other) {
+            const bool is_large = other >= 60;
+            auto made = heartbeat((is_large ? "large-" : "small-") + std::to_string(other), 1);
+            made.capacity = is_large ? 400 : 30;
+            made.relay = made.instance;
+            registry.observe(made, now);
+        }
+        const auto relays = registry.relays(heartbeat(own, 1), now);
+        CHECK_EQUAL(65U, relays.size());
+        ++first_choices[relays.front()];
+    }
+    CHECK_EQUAL(6U, first_choices.size());
+    for (const auto& [relay, instances] : first_choices) {
+        CHECK(relay.starts_with("large-"));
+        CHECK(instances <= 25);
+    }
+}
+
 // Guards against counting a heartbeat row that is read a second time as a sign of life.
 TEST(instance_registry, a_repeated_heartbeat_does_not_keep_an_instance_live)
 {
--- a/modules/gateway/fleet_view.cpp
+++ b/modules/gateway/fleet_view.cpp
@@ -366,7 +366,7 @@
 
 void fleet_view::probe_routes()
 {
-    route_.set_relays(instances_.relays(loop_.now()));
+    route_.set_relays(instances_.relays(own_heartbeat_, loop_.now()));
     route_.set_instances(counts().live);
     for (const auto& address : route_.next_probes(loop_.now())) {
         store_.probe(address, [this, address](bool answers) {
