A caller is told when to return only if it can still be in time

Change: a time beyond the route's objective is not told; the short delay of before is. No test of its own: the rule is in class call.

--- a/modules/gateway/call.cpp
+++ b/modules/gateway/call.cpp
@@ -156,12 +156,15 @@
             }
             context_.budgets.log_refusal(request_.id, account_, request_.generation->most());
             const bool exhausted = outcome.code == result_code::budget_exhausted;
+            // Whoever returns here after the objective is late; another instance may have tokens.
+            const bool is_worth_waiting =
+                outcome.room_expected_in && *outcome.room_expected_in < route_->objective;
             refuse(outcome.code, exhausted ? 429 : 503,
                    exhausted ? "the prepaid budget does not cover the request"
                              : "no tokens of the prepaid budget can be had at present",
                    retry_after(exhausted ? refusal_cause::budget_exhausted
                                          : refusal_cause::budget_unavailable,
-                               outcome.room_expected_in));
+                               is_worth_waiting ? outcome.room_expected_in : std::nullopt));
         });
 }
 
