The home of an account leaves room for callers while the store is away

Change: at a home, room for four requests within the bound of all holders: one at once and one a second.

--- a/modules/dispatch/account_budgets.cpp
+++ b/modules/dispatch/account_budgets.cpp
@@ -35,6 +35,9 @@
 constexpr std::int64_t max_stranded_at_standby_divisor = 400;
 constexpr std::int64_t ample_remaining_divisor = 8;
 constexpr std::int64_t spare_divisor = 2;
+/// Requests of an account without demand for which the ceiling of its home leaves room until the
+/// late growth begins: one at once, and one a second after that.
+constexpr std::int64_t idle_requests_without_store = 4;
 /// The base of a ceiling strands at most 1/16 of what is left of a budget.
 constexpr std::int64_t max_stranded_of_remaining_divisor = 16;
 
@@ -348,9 +351,14 @@
         const bool has_room_for_idle_request =
             has_ample_free && role != grant_role::standby && facts.request <= stranded_by_all;
         const auto min_headroom = has_room_for_idle_request ? facts.request : 0;
+        // The home serves callers of all instances, also if the store fails before they have come:
+        // its ceiling grows by a request a second from the start.
+        const auto stranded_at_home =
+            std::min(stranded_by_all, idle_requests_without_store * min_headroom);
         const auto stranded_without_demand = role == grant_role::standby
                                                  ? facts.limit / max_stranded_at_standby_divisor
-                                                 : min_headroom;
+                                             : is_shared ? min_headroom
+                                                         : stranded_at_home;
         const auto stranded_by_share = static_cast<token_count>(
             policy_.share_of_demand(facts) * static_cast<double>(stranded_by_all));
         found.push_back(
