review/9: servers that say in their answers that they leave get requests

Server-Leaving is not read, so a machine that cannot read the store sends on until the server is gone.

--- /dev/null
+++ b/review/9/run.sh
@@ -0,0 +1,3 @@
+#!/usr/bin/env bash
+# Runs this case. See claim.txt for what it shows, and review/second/run-case.sh for its exit codes.
+exec bash "$(dirname "$0")/../second/run-case.sh" 9
