A request is charged unless its server states that it has not run

Cause: abandoned_request_tracker took a connection that closes in order without a byte for "has not run" and released the reservation. A request runs with its first token, and no byte shows it before an event is full. Evidence: of 183 requests that servers began, 21 have an `abandoned` line with ran=0; the charges fall short by 192,990 tokens, which is 21 prompts of 9,190. All other charges match what servers and callers saw. Change: such a request is charged its prompt and the allowance for output on its way, however its connection ends; it is free if a refusal that says "not run" arrives. What proves it is one function now, server_response::proves_not_run(). The log says how the connection ended instead of a belief. The soak's faulty servers begin streams late at times, so that callers leave before the first event. Why it works: only the statement that the protocol names releases what was sent.

--- a/apps/soak/fault_plan.cpp
+++ b/apps/soak/fault_plan.cpp
@@ -58,6 +58,7 @@
     , random_of_exclusions_{static_cast<std::minstd_rand::result_type>(seed * 6007 + 1)}
     , random_of_restorations_{static_cast<std::minstd_rand::result_type>(seed * 5003 + 1)}
     , random_of_crashes_{static_cast<std::minstd_rand::result_type>(seed * 4001 + 1)}
+    , random_of_starts_{static_cast<std::minstd_rand::result_type>(seed * 3001 + 1)}
 {
 }
 
@@ -128,7 +129,7 @@
 std::string fault_plan::step()
 {
     undo_due();
-    return exclusion() + restoration() + crashing_requests() + next_fault();
+    return exclusion() + restoration() + crashing_requests() + slow_starts() + next_fault();
 }
 
 // At times the callers' crashing requests do crash servers. Drawn apart, as exclusion().
@@ -147,6 +148,26 @@
     return "requests that crash servers, ";
 }
 
+// At times streams begin so late that callers leave before the first event. Drawn apart, as
+// exclusion().
+std::string fault_plan::slow_starts()
+{
+    const auto draw_apart = [this](int low, int high) {
+        return std::uniform_int_distribution<int>{low, high}(random_of_starts_);
+    };
+    constexpr int steps_per_fault = 8;
+    const auto time = ms(draw_apart(1000, 8000));
+    const int share = draw_apart(300, 1000);
+    if (site_.faulty_servers().empty() || draw_apart(1, steps_per_fault) > 1) {
+        return {};
+    }
+    for (auto& server : site_.faulty_servers()) {
+        server->slow_start = share;
+        later(time, [&slow = *server] { slow.slow_start = 0; });
+    }
+    return "slow starts, ";
+}
+
 // At times the store comes back from a copy of some seconds ago. Drawn apart, as exclusion().
 std::string fault_plan::restoration()
 {
--- a/apps/soak/fault_plan.h
+++ b/apps/soak/fault_plan.h
@@ -66,6 +66,7 @@
     std::string exclusion();
     std::string restoration();
     std::string crashing_requests();
+    std::string slow_starts();
     std::string next_fault();
     std::string process_fault();
     std::string store_fault();
@@ -90,6 +91,7 @@
     std::minstd_rand random_of_exclusions_;
     std::minstd_rand random_of_restorations_;
     std::minstd_rand random_of_crashes_;
+    std::minstd_rand random_of_starts_;
     bool restores_{false}; ///< a restoration of the store is under way
     std::vector<open_fault> open_;
     std::vector<std::string> violations_;
--- a/modules/dispatch/call_request.h
+++ b/modules/dispatch/call_request.h
@@ -71,6 +71,12 @@
     friend bool operator==(const unreadable_header&, const unreadable_header&) = default;
 };
 
+/// Whether a status tells the caller that its request has not run and never will.
+constexpr bool states_not_run(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 /// Status and headers of a server's response, as far as the gateway uses them.
 struct server_response {
     int status{0};
@@ -85,6 +91,10 @@
     std::optional<double> rate_limit;
     std::vector<unreadable_header> unreadable; ///< headers that count as absent
 
+    /// Whether the response proves that the server has not run the request. The end of a
+    /// connection never does, with or without a byte.
+    [[nodiscard]] bool proves_not_run() const { return refused && states_not_run(status); }
+
     friend bool operator==(const server_response&, const server_response&) = default;
 };
 
--- a/modules/gateway/abandoned_request_tracker.cpp
+++ b/modules/gateway/abandoned_request_tracker.cpp
@@ -1,5 +1,7 @@
 #include "gateway/abandoned_request_tracker.h"
 
+#include "platform/call_codec.h"
+
 #include <utility>
 
 namespace jujubevalve
@@ -25,7 +27,7 @@
     {
         timer_ = owner_.loop_.schedule(max_close_wait, [this] {
             timer_ = 0;
-            end(true);
+            end("no_end", true);
         });
     }
     ~pending_request() override { owner_.loop_.cancel(timer_); }
@@ -36,31 +38,37 @@
     void begin()
     {
         if (!connection_->stop_sending(*this)) {
-            end(true);
+            end("closed_here", true);
         }
     }
 
     [[nodiscard]] const abandoned_request& request() const { return request_; }
 
 private:
-    bool on_response_head(const http_head& /*head*/) override
+    bool on_response_head(const http_head& head) override
     {
-        end(true);
+        const auto response = decode_response(head);
+        if (response.request_id && *response.request_id != request_.id) {
+            return false; // a late response to an earlier request
+        }
+        const bool is_identified = response.request_id || !connection_->is_reused();
+        const bool is_refused = is_identified && response.proves_not_run();
+        end(is_refused ? "refused" : "response", !is_refused);
         return true;
     }
     void on_response_body(std::string_view /*bytes*/) override {}
-    void on_response_end() override { end(true); }
+    void on_response_end() override {}
     void on_exchange_failed(exchange_failure failure) override
     {
-        end(failure != exchange_failure::no_response || !connection_->closed_cleanly());
+        end(connection_->closed_cleanly() ? "closed" : to_string(failure), true);
     }
 
-    void end(bool has_run)
+    void end(std::string_view outcome, bool may_have_run)
     {
         if (std::exchange(ended_, true)) {
             return;
         }
-        owner_.end(id_, has_run);
+        owner_.end(id_, outcome, may_have_run);
     }
 
     abandoned_request_tracker& owner_;
@@ -92,10 +100,10 @@
     added.begin();
 }
 
-void abandoned_request_tracker::end(std::uint64_t id, bool has_run)
+void abandoned_request_tracker::end(std::uint64_t id, std::string_view outcome, bool may_have_run)
 {
     const auto& request = pending_requests_.at(id)->request();
-    if (has_run) {
+    if (may_have_run) {
         budgets_.settle(request.reservation, request.charge);
     } else {
         budgets_.release(request.reservation);
@@ -103,8 +111,8 @@
     log_.write("abandoned",
                log_fields{}
                    .add("id", request.id)
-                   .add("ran", static_cast<int>(has_run))
-                   .add("charged", has_run ? request.charge : 0),
+                   .add("end", outcome)
+                   .add("charged", may_have_run ? request.charge : 0),
                loop_.now());
     // Deferred, since the request's connection may still be on the stack.
     loop_.defer([this, id] { pending_requests_.erase(id); });
--- a/modules/gateway/abandoned_request_tracker.h
+++ b/modules/gateway/abandoned_request_tracker.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 
 namespace jujubevalve
@@ -17,13 +18,13 @@
 struct abandoned_request {
     std::string id;
     reservation_id reservation{0};
-    token_count charge{0}; ///< tokens to charge if the request has run
+    token_count charge{0}; ///< unless the server states that it has not run the request
 };
 
-/// Determines whether backend servers started requests whose callers disconnected. The sending
-/// side of the connection is closed, so that the server drops the request; if it then closes its
-/// side in order without a byte, the request has not run and costs nothing. In any other case it
-/// is charged.
+/// Charges requests whose callers disconnected before the response began. The sending side of the
+/// connection is closed, so that the server drops the request. It is charged however the connection
+/// ends, as the server may have begun to run it without a byte to show for it; only a response that
+/// states the contrary, sent before the server noticed, makes it free.
 class abandoned_request_tracker
 {
 public:
@@ -38,7 +39,8 @@
 private:
     class pending_request;
 
-    void end(std::uint64_t id, bool has_run);
+    /// `outcome`: for the log.
+    void end(std::uint64_t id, std::string_view outcome, bool may_have_run);
 
     event_loop& loop_;
     reservation_service& budgets_;
--- a/modules/gateway/call_response.cpp
+++ b/modules/gateway/call_response.cpp
@@ -31,12 +31,6 @@
     return status != 204 && status != 205 && status != 304;
 }
 
-// Whether the status tells the caller that its request has not run.
-bool states_not_run(int status)
-{
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 std::optional<std::int64_t> event_number(std::string_view id)
 {
     std::int64_t number = 0;
@@ -220,7 +214,7 @@
         end_stream();
         return;
     }
-    if (response_.refused && states_not_run(response_.status)) {
+    if (response_.proves_not_run()) {
         handle_refusal(response_.status);
     } else if (response_.encoded || (is_success(response_.status) && !response_.is_signed)) {
         handle_invalid_response("not the server's own answer");
--- a/modules/standins/site/faulty_server.cpp
+++ b/modules/standins/site/faulty_server.cpp
@@ -16,6 +16,7 @@
 /// Longer than the time limit of any request.
 constexpr time_ms max_stall{7000};
 constexpr int max_copy_delay_ms = 40;
+constexpr int max_slow_start_ms = 250;
 
 void pause(int ms)
 {
@@ -137,6 +138,10 @@
 
 void faulty_server::send_stream(const raw_connection& connection, const raw_request& request)
 {
+    if (happens(slow_start) && connection.wait_closed(time_ms{draw(1, max_slow_start_ms)})) {
+        connection.close();
+        return;
+    }
     const bool is_chunked = draw(0, 1) == 0;
     const auto frame = [is_chunked](const std::string& bytes) {
         return is_chunked ? chunk(bytes) : bytes;
--- a/modules/standins/site/faulty_server.h
+++ b/modules/standins/site/faulty_server.h
@@ -15,7 +15,8 @@
 {
 
 /// A backend server with faults on the wire: it sends answers twice, the second time late, breaks
-/// off or goes silent inside a stream, and answers with errors instead of going on with one.
+/// off or goes silent inside a stream, begins streams late, and answers with errors instead of
+/// going on with one.
 class faulty_server
 {
 public:
@@ -33,7 +34,10 @@
     std::atomic<int> fail{0};      ///< signed errors, also where a stream should go on
     std::atomic<int> break_off{0}; ///< streams that end inside an event, in order or with a reset
     std::atomic<int> stall{0};     ///< streams that stop without an end of the connection
-    std::atomic<int> work_ms{5};   ///< duration of a plain call, and interval between events
+    /// Streams that begin to run long before the first event. If the caller leaves meanwhile, the
+    /// connection closes in order without a byte.
+    std::atomic<int> slow_start{0};
+    std::atomic<int> work_ms{5}; ///< duration of a plain call, and interval between events
 
 private:
     enum class framing { length, chunks, close };
