A request that was not sent when its caller left is not charged

Callers saw: an account is refused for lack of tokens that nobody used, when callers leave while the connection to a server is being opened, such as to one that cannot be reached. Cause: caller_left() handed each first attempt to abandoned_request_tracker, also one whose connection was not established; it has no sending side to close, which counted as "may have run". An attempt after refusals was charged without waiting for the refusal that may be on its way. Why it works: nothing is written before the connection is established, so nothing can have run. Test: abandoned_requests, a_request_that_was_not_sent_is_free; failed before.

--- a/modules/gateway/call.cpp
+++ b/modules/gateway/call.cpp
@@ -485,7 +485,10 @@
     if (ended_) {
         return;
     }
-    if (connection_ && reservation_ != 0 && state_ == run_state::sent && attempts_ == 1) {
+    if (state_ == run_state::sent && is_unsent()) {
+        state_ = run_state::not_run;
+    }
+    if (connection_ && reservation_ != 0 && state_ == run_state::sent) {
         context_.abandoned.add(std::move(connection_),
                                {request_.id, std::exchange(reservation_, 0), used_tokens()});
     } else if (connection_) {
--- a/tests/gateway/abandoned_request_tests.cpp
+++ b/tests/gateway/abandoned_request_tests.cpp
@@ -1,4 +1,5 @@
 #include "core/clock.h"
+#include "standins/site/full_listener.h"
 #include "standins/site/raw_server.h"
 #include "standins/site/site_caller.h"
 
@@ -164,3 +165,16 @@
     CHECK(answered_until_exhausted() >= leaving_callers);
     CHECK(consumed() <= prepaid);
 }
+
+// Guards against charging requests whose callers leave while the connection to the server is being
+// opened: nothing was sent, and an account is used up by a server that cannot be reached.
+TEST(abandoned_requests, a_request_that_was_not_sent_is_free)
+{
+    const full_listener unreachable;
+    announce("full", unreachable.address());
+    send_and_leave(2 * leaving_callers, time_ms{40});
+    fleet->store().rows().put("servers", "full", "");
+    start_engine();
+    CHECK(answered_until_exhausted() >= leaving_callers);
+    CHECK(consumed() <= prepaid);
+}
