Router: a refusal by one server says nothing of an earlier attempt

Callers saw (by the test, not in the field): "not run" for a request whose first answer was lost and which a further server refused, or whose resume was lost. Cause: mark_not_delivered() put the whole execution back to "accepted", though it proves something of the last attempt only; a resume that failed in any way was marked so, too. Change: an execution that was sent again without a proof remains "sent"; a failed resume leaves it so. Why it works: refuse() answers "unknown" for what remains sent. Test: executions, a_refusal_says_nothing_of_an_earlier_attempt; failed before.

--- a/modules/requests/execution_registry.cpp
+++ b/modules/requests/execution_registry.cpp
@@ -201,6 +201,8 @@
     if (!found->idempotent && found->state != execution_state::accepted) {
         return false;
     }
+    found->earlier_may_have_run =
+        found->earlier_may_have_run || found->state == execution_state::sent;
     found->state = execution_state::sent;
     return true;
 }
@@ -208,7 +210,7 @@
 void execution_registry::mark_not_delivered(execution_id id)
 {
     auto* const found = find(id);
-    if (found != nullptr && found->state == execution_state::sent) {
+    if (found != nullptr && found->state == execution_state::sent && !found->earlier_may_have_run) {
         found->state = execution_state::accepted;
     }
 }
--- a/modules/requests/execution_registry.h
+++ b/modules/requests/execution_registry.h
@@ -106,8 +106,9 @@
     /// confirmed, or it is non-idempotent and an earlier backend request may have been delivered.
     [[nodiscard]] bool mark_sent(execution_id id);
 
-    /// Records that the backend server certainly did not receive the request. The execution may
-    /// then be sent to another server.
+    /// Records that the backend server that the request was sent to last certainly did not run it.
+    /// The execution may then be sent to another server. It remains `sent` if an earlier backend
+    /// request may have been delivered.
     void mark_not_delivered(execution_id id);
 
     /// Records the answer. A late answer replaces the state `unknown`. Returns true when the
@@ -162,7 +163,8 @@
         std::uint64_t body_digest_prefix{0}; ///< first 64 bits of the body's digest
         bool idempotent{true};
         bool home_confirmed{true};
-        bool billed{false}; ///< an outcome was reported to the caller for billing
+        bool earlier_may_have_run{false}; ///< sent again without a proof that it had not run
+        bool billed{false};               ///< an outcome was reported to the caller for billing
         execution_state state{execution_state::accepted};
         int attempt{0};       ///< highest attempt number that started or joined
         int refused_up_to{0}; ///< attempts up to this number are refused
--- a/modules/requests/tests/execution_registry_tests.cpp
+++ b/modules/requests/tests/execution_registry_tests.cpp
@@ -180,6 +180,24 @@
     CHECK(begin({"acct", "", "aa", false}) == begin_action::refused);
 }
 
+// Guards against telling a caller that its request has not run, as the last of several servers has
+// refused it, though an answer of an earlier one was lost.
+TEST(executions, a_refusal_says_nothing_of_an_earlier_attempt)
+{
+    const auto id = start({"acct", "k", "aa", true});
+    CHECK(registry.mark_sent(id));
+    CHECK(registry.mark_sent(id)); // again, as the first answer was lost
+    registry.mark_not_delivered(id);
+    CHECK(registry.refuse(id, busy, now) == run_outcome::unknown);
+    // Without a lost answer a refusal by each server is one by all.
+    const auto refused = start({"acct", "other", "aa", true});
+    CHECK(registry.mark_sent(refused));
+    registry.mark_not_delivered(refused);
+    CHECK(registry.mark_sent(refused));
+    registry.mark_not_delivered(refused);
+    CHECK(registry.refuse(refused, busy, now) == run_outcome::not_run);
+}
+
 namespace
 {
 /// Simulates three instances, one backend server that counts runs, and a network that delays, loses
--- a/modules/router/chat_service.cpp
+++ b/modules/router/chat_service.cpp
@@ -159,7 +159,7 @@
         finish_lost(accepted, {result_code::backend_lost, "the resumed stream broke"});
         return true;
     }
-    context_.executions.with_registry([&](auto& all) { all.mark_not_delivered(accepted.id); });
+    // It stays sent: whatever became of the resume, the run that it asked for may go on.
     return false;
 }
 
