A server that says in an answer that it leaves gets no more requests

Cause: leaving was known from the server's row in the store only, which nobody can read while the store is away. Server-Leaving was not read. Change: the header is decoded; the directory keeps the word for that start of the server, whatever its row says, also when the row has lapsed and is back. Choices, retries, resumes and the crash detector ask is_leaving(). A 421 speaks for another server. A connection that was opened before a start of a server was known is not used for it, so that a late answer is never taken for the new start's. Why it works: every way to a server goes through candidates(), at the moment of sending.

--- a/apps/soak/fault_plan.cpp
+++ b/apps/soak/fault_plan.cpp
@@ -59,6 +59,7 @@
     , random_of_restorations_{static_cast<std::minstd_rand::result_type>(seed * 5003 + 1)}
     , random_of_crashes_{static_cast<std::minstd_rand::result_type>(seed * 4001 + 1)}
     , random_of_starts_{static_cast<std::minstd_rand::result_type>(seed * 3001 + 1)}
+    , random_of_leaving_{static_cast<std::minstd_rand::result_type>(seed * 2003 + 1)}
 {
 }
 
@@ -129,7 +130,8 @@
 std::string fault_plan::step()
 {
     undo_due();
-    return exclusion() + restoration() + crashing_requests() + slow_starts() + next_fault();
+    return exclusion() + restoration() + crashing_requests() + slow_starts() + leaving_server() +
+           next_fault();
 }
 
 // At times the callers' crashing requests do crash servers. Drawn apart, as exclusion().
@@ -168,6 +170,25 @@
     return "slow starts, ";
 }
 
+// At times a server says in its answers that it leaves, which its registration never does, and is
+// replaced. Drawn apart, as exclusion().
+std::string fault_plan::leaving_server()
+{
+    const auto draw_apart = [this](int low, int high) {
+        return std::uniform_int_distribution<int>{low, high}(random_of_leaving_);
+    };
+    constexpr int steps_per_fault = 8;
+    const auto time = ms(draw_apart(500, 8000));
+    auto& all = site_.servers();
+    auto& item = all[static_cast<std::size_t>(draw_apart(0, static_cast<int>(all.size()) - 1))];
+    if (draw_apart(1, steps_per_fault) > 1 || item.server->is_leaving) {
+        return {};
+    }
+    item.server->is_leaving = true;
+    later(time, [this, &item] { site_.replace(item); });
+    return item.server->id() + " says that it leaves, ";
+}
+
 // At times the store comes back from a copy of some seconds ago. Drawn apart, as exclusion().
 std::string fault_plan::restoration()
 {
@@ -255,7 +276,10 @@
         return "kill " + gateway.name;
     case 1:
         gateway.process->send(SIGSTOP);
-        later(ms(draw(300, 5000)), [&gateway] { gateway.process->send(SIGCONT); });
+        later(ms(draw(300, 5000)), [this, &gateway] {
+            site_.leaving().excuse(gateway.listen);
+            gateway.process->send(SIGCONT);
+        });
         return "pause " + gateway.name;
     case 2:
         return stop(gateway);
--- a/apps/soak/fault_plan.h
+++ b/apps/soak/fault_plan.h
@@ -67,6 +67,7 @@
     std::string restoration();
     std::string crashing_requests();
     std::string slow_starts();
+    std::string leaving_server();
     std::string next_fault();
     std::string process_fault();
     std::string store_fault();
@@ -92,6 +93,7 @@
     std::minstd_rand random_of_restorations_;
     std::minstd_rand random_of_crashes_;
     std::minstd_rand random_of_starts_;
+    std::minstd_rand random_of_leaving_;
     bool restores_{false}; ///< a restoration of the store is under way
     std::vector<open_fault> open_;
     std::vector<std::string> violations_;
--- a/apps/soak/main.cpp
+++ b/apps/soak/main.cpp
@@ -115,12 +115,14 @@
     }
 }
 
-int report(const site::site_caller& caller, const soak::fault_plan& faults)
+int report(const site::site_caller& caller, const soak::fault_plan& faults,
+           std::size_t announcements)
 {
     for (const auto& [status, count] : caller.statuses()) {
         std::cout << "status " << status << ": " << count << "\n";
     }
     std::cout << "complete answers: " << caller.complete() << "\n";
+    std::cout << "leaving servers that gateways passed on: " << announcements << "\n";
     auto wrong = caller.violations();
     wrong.insert(wrong.end(), faults.violations().begin(), faults.violations().end());
     for (const auto& what : wrong) {
@@ -199,7 +201,7 @@
         // Kept beside the gateways' logs, which name what each call was charged.
         std::ofstream{std::filesystem::path{made.log_folder} / "spent"}
             << deployment.book().to_text();
-        return report(caller, faults);
+        return report(caller, faults, deployment.leaving().announcements());
     } catch (const std::exception& error) {
         std::cerr << "error: " << error.what() << "\n";
         return 1;
--- a/modules/dispatch/call_request.h
+++ b/modules/dispatch/call_request.h
@@ -89,6 +89,7 @@
     std::optional<server_load> load;
     /// Requests per second that the server takes from all instances together.
     std::optional<double> rate_limit;
+    bool is_leaving{false};                    ///< the server says that it takes no new requests
     std::vector<unreadable_header> unreadable; ///< headers that count as absent
 
     /// Whether the response proves that the server has not run the request. The end of a
--- a/modules/dispatch/server_directory.cpp
+++ b/modules/dispatch/server_directory.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace jujubevalve
 {
@@ -18,6 +19,8 @@
 constexpr time_ms min_lapse_time{2200};
 /// Removed servers that are remembered.
 constexpr std::size_t max_gone = 1024;
+/// Incarnations remembered that have said that they leave.
+constexpr std::size_t max_announced_ends = 1024;
 /// Consecutive transport failures, and error responses, from which on a server is avoided.
 constexpr int failures_before_avoidance = 2;
 constexpr int errors_before_avoidance = 4;
@@ -30,6 +33,13 @@
 constexpr time_ms same_warm_up{1200};
 /// A server that refused as full gets requests again after this time.
 constexpr time_ms refusal_backoff{60};
+
+/// Whether an entry is of a later start of the server. Without incarnations only the address tells.
+bool is_other_start(const server_entry& known, const server_entry& read)
+{
+    return known.incarnation != read.incarnation ||
+           (read.incarnation == 0 && known.address != read.address);
+}
 } // namespace
 
 void server_directory::replace_all(const std::vector<server_entry>& entries, time_ms now)
@@ -55,10 +65,12 @@
         return;
     }
     auto& registration = servers_[entry.id];
-    const bool restarted =
-        registration.state && registration.state->entry.incarnation != entry.incarnation;
+    const bool restarted = registration.state && is_other_start(registration.state->entry, entry);
     if (!registration.state || restarted) {
         registration.state = std::make_shared<server_state>();
+        registration.state->known_since = now;
+        registration.state->has_announced_end =
+            announced_ends_.contains(server_key(entry.id, entry.incarnation));
         registration.sequence = 0;
     }
     registration.sequence = std::max(registration.sequence, entry.sequence);
@@ -69,7 +81,6 @@
         registration.state->entry.cold_until = known_cold_until;
     }
     registration.removed_at.reset();
-    (void)now;
 }
 
 void server_directory::remove(std::string_view id, time_ms now)
@@ -136,7 +147,7 @@
     std::vector<server_state*> found;
     for (auto& [id, registration] : servers_) {
         const auto& entry = registration.state->entry;
-        if (entry.service == service && !entry.leaving &&
+        if (entry.service == service && !registration.state->is_leaving() &&
             !evacuated_domains_.contains(entry.failure_domain)) {
             found.push_back(registration.state.get());
         }
@@ -260,6 +271,23 @@
     }
 }
 
+bool server_directory::note_leaving(std::string_view id, std::int64_t incarnation, time_ms now)
+{
+    auto* const state = find(id);
+    const bool is_same_start = state != nullptr && state->entry.incarnation == incarnation;
+    const bool was_known = is_same_start && std::exchange(state->has_announced_end, true);
+    if (incarnation == 0) {
+        return is_same_start && !was_known; // a later start could not be told from this one
+    }
+    const bool is_new = announced_ends_.try_emplace(server_key(id, incarnation), now).second;
+    if (announced_ends_.size() > max_announced_ends) {
+        announced_ends_.erase(
+            std::min_element(announced_ends_.begin(), announced_ends_.end(),
+                             [](const auto& a, const auto& b) { return a.second < b.second; }));
+    }
+    return is_new;
+}
+
 void server_directory::add_latency(std::string_view id, time_ms latency)
 {
     if (auto* const state = find(id)) {
--- a/modules/dispatch/server_directory.h
+++ b/modules/dispatch/server_directory.h
@@ -30,7 +30,9 @@
 /// Registration and observed state of one server.
 struct server_state {
     server_entry entry;
-    std::int64_t own_running{0};       ///< requests of this process that run or wait there
+    time_ms known_since{};         ///< when this incarnation was read first
+    bool has_announced_end{false}; ///< said in an answer that it leaves, whatever its entry says
+    std::int64_t own_running{0};   ///< requests of this process that run or wait there
     token_count own_prefill_tokens{0}; ///< prompt tokens of these requests, not prefilled yet
     std::optional<server_load> report; ///< the latest load report
     time_ms report_received_at{};
@@ -42,6 +44,9 @@
     time_ms avoid_until{};       ///< until then chosen only if no other server can be
     time_ms full_until{};        ///< until then it counts as full, since it refused a request
     time_ms latency{};           ///< moving average over good responses to plain calls
+
+    /// Whether the server takes no new requests.
+    [[nodiscard]] bool is_leaving() const { return entry.leaving || has_announced_end; }
 };
 
 /// The registered servers of all services, with the state this process has observed of them. A
@@ -96,6 +101,9 @@
     [[nodiscard]] std::string id_of(std::uint64_t key) const;
     /// Avoids a server that another instance saw crash. `key`: its server_key.
     void avoid_crashed(std::uint64_t key, time_ms now);
+    /// Records that an answer of an incarnation says that it leaves. It gets no more requests, also
+    /// if its entry says otherwise later. Returns whether this was not known.
+    bool note_leaving(std::string_view id, std::int64_t incarnation, time_ms now);
     /// Adds a latency to the server's moving average.
     void add_latency(std::string_view id, time_ms latency);
 
@@ -126,8 +134,9 @@
     void avoid(server_state& state, int doublings, time_ms now);
 
     std::map<std::string, registration, std::less<>> servers_;
-    last_registrations gone_;        ///< servers that were removed
-    last_registrations before_copy_; ///< as known when the registry was restored
+    last_registrations gone_;                         ///< servers that were removed
+    last_registrations before_copy_;                  ///< as known when the registry was restored
+    std::map<std::uint64_t, time_ms> announced_ends_; ///< when servers said so, by server_key
     evacuations evacuated_domains_;
     std::optional<time_ms> last_registry_read_;
     std::optional<time_ms> last_outage_end_;
--- a/modules/gateway/call.cpp
+++ b/modules/gateway/call.cpp
@@ -231,6 +231,7 @@
 {
     server_id_ = server.entry.id;
     server_address_ = server.entry.address;
+    server_incarnation_ = server.entry.incarnation;
     tried_servers_.push_back(server_id_);
     const auto now = context_.loop.now();
     unread_prompt_tokens_ =
@@ -250,7 +251,7 @@
 
     connection_ = context_.connections.take(
         server_address_, may_run_again() ? max_idle_if_rerunnable : max_idle_if_not_rerunnable,
-        request_.id);
+        server.known_since, request_.id);
     sent_at_ = now;
     state_ = state_ == run_state::ran ? run_state::ran : run_state::sent;
     ++attempts_;
@@ -368,8 +369,8 @@
 void call::report_lost_connection()
 {
     const auto* const server = context_.view.servers().find(server_id_);
-    if (server == nullptr) {
-        return;
+    if (server == nullptr || server->is_leaving()) {
+        return; // a leaving server may end at any time
     }
     context_.crashes.connection_lost(
         server->entry, is_answer_under_way() ? std::nullopt : std::optional{shared_prompt_});
--- a/modules/gateway/call.h
+++ b/modules/gateway/call.h
@@ -92,6 +92,8 @@
     void record_sound_answer();
     /// Records the rate limit that the response names.
     void record_rate_limit();
+    /// Records that the server leaves, if the response says so.
+    void record_leaving();
     [[nodiscard]] bool is_answer_under_way() const;
     /// Reports that the connection of the current attempt broke.
     void report_lost_connection();
@@ -138,6 +140,7 @@
     std::vector<std::string> tried_servers_;
     std::string server_id_; ///< server of the current attempt; empty if there is none
     std::string server_address_;
+    std::int64_t server_incarnation_{0};
     std::uint64_t identity_{0};   ///< see request_identity
     shared_prompt shared_prompt_; ///< empty before the call is authorised
     token_count unread_prompt_tokens_{0};
--- a/modules/gateway/call_response.cpp
+++ b/modules/gateway/call_response.cpp
@@ -83,6 +83,7 @@
         }
     }
     record_rate_limit();
+    record_leaving();
     in_stream_ = is_success(response_.status) && may_have_body(response_.status) &&
                  response_.is_event_stream && response_.is_signed && !response_.encoded;
     if (in_stream_) {
@@ -103,6 +104,25 @@
     }
 }
 
+// A misdirected request was answered by another server, which speaks for itself.
+void call::record_leaving()
+{
+    constexpr int misdirected = 421;
+    if (!response_.is_leaving || response_.status == misdirected) {
+        return;
+    }
+    const auto now = context_.loop.now();
+    if (context_.view.servers().note_leaving(server_id_, server_incarnation_, now)) {
+        context_.metrics.count("servers_leaving_by_answer");
+        context_.log.write("server_leaving",
+                           log_fields{}
+                               .add("server", server_id_)
+                               .add("incarnation", server_incarnation_)
+                               .add("id", request_.id),
+                           now);
+    }
+}
+
 void call::on_response_body(std::string_view bytes)
 {
     context_.view.servers().note_received(server_id_, context_.loop.now());
--- a/modules/standins/site/kept_caller.cpp
+++ b/modules/standins/site/kept_caller.cpp
@@ -204,12 +204,15 @@
         body_.clear();
         reader_.next();
         const auto answered_bytes = received_.size();
+        record_.note_sent(id, gateway);
         const bool is_sent = send_request(connection.get(), id, kind);
         const auto sent_at = now();
         const bool leaves = happens(options_.leaves);
         const auto how =
             read_answer(connection.get(), leaves ? time_ms{draw(0, 80)} : answer_limit);
         check(id, kind, how);
+        record_.note_leaving(gateway, head_.headers.get("Server-Leaving"),
+                             head_.headers.get("X-Instance-Id"));
         const bool is_complete = how == outcome::answered;
         record_.record(id, kind, is_complete ? head_.status : 0,
                        is_complete && head_.status / 100 == 2);
--- a/modules/standins/site/server_standin.cpp
+++ b/modules/standins/site/server_standin.cpp
@@ -80,6 +80,21 @@
 }
 
 http_response server_standin::handle(const http_request& request)
+{
+    const bool leaves = is_leaving;
+    const auto at = id_ + "#" + std::to_string(start);
+    if (on_arrival && request.header("x-expect-instance") == id_) {
+        on_arrival(std::string{request.header("x-request-id")}, at);
+    }
+    auto response = answer(request);
+    response.headers["X-Instance-Id"] = at;
+    if (leaves) {
+        response.headers["Server-Leaving"] = "1";
+    }
+    return response;
+}
+
+http_response server_standin::answer(const http_request& request)
 {
     ++requests_;
     {
@@ -89,7 +104,7 @@
     const std::string id{request.header("x-request-id")};
     const std::string expected{request.header("x-expect-instance")};
     if (expected != id_) {
-        return {421, {{"X-Instance-Id", id_}}, {}, {}, {}};
+        return {421, {}, {}, {}, {}};
     }
     if (id.empty()) {
         return {400, {{"X-Not-Executed", "1"}}, {}, {}, {}};
--- a/modules/standins/site/server_standin.h
+++ b/modules/standins/site/server_standin.h
@@ -48,6 +48,13 @@
     /// Arrivals of requests since the last call of this function.
     std::vector<time_ms> take_arrivals();
 
+    /// Says in all answers that it leaves. Every answer names the server and its start.
+    std::atomic<bool> is_leaving{false};
+    /// Number of its start, see site_server.
+    std::atomic<std::int64_t> start{1};
+    /// Called with the id of each request that arrives, and the server and start it arrives at.
+    std::function<void(const std::string& id, const std::string& at)> on_arrival;
+
     /// Shared prompt block whose requests crash the server when their answer begins; 0: none.
     std::atomic<std::uint64_t> crash_block{0};
     /// Crashes at all requests if 1000, else at that many of a thousand.
@@ -66,6 +73,7 @@
 
 private:
     http_response handle(const http_request& request);
+    http_response answer(const http_request& request);
     http_response stream(const http_request& request, const std::string& id);
     [[nodiscard]] bool draw(int thousandths);
     [[nodiscard]] bool has_crash_block(const http_request& request) const;
--- a/modules/standins/site/site.cpp
+++ b/modules/standins/site/site.cpp
@@ -53,6 +53,9 @@
             const std::lock_guard lock{crash_mutex_};
             crashes_[what].requests.push_back(steady_clock_ms{}.now());
         };
+        added.server->on_arrival = [this](const std::string& request, const std::string& server) {
+            leaving_.arrived(request, server);
+        };
         added.server->crash = [this, &added](const std::string& what) { crash(added, what); };
     };
     for (int i = 0; i < options.engines; ++i) {
@@ -153,12 +156,24 @@
         std::this_thread::sleep_for(std::chrono::milliseconds{crash_down_time.count()});
         const std::lock_guard restart_lock{crash_mutex_};
         server.is_down = false;
-        ++server.incarnation;
+        server.server->start = ++server.incarnation;
         server.path->set_mode(tcp_relay::mode::carry);
         announce(server);
     });
 }
 
+void site::replace(site_server& server)
+{
+    const std::lock_guard lock{crash_mutex_};
+    server.server->is_leaving = false;
+    if (server.is_down) {
+        return; // it crashed meanwhile, and starts again by itself
+    }
+    server.path->cut_open();
+    server.server->start = ++server.incarnation;
+    announce(server);
+}
+
 crash_history site::crashes() const
 {
     crash_history all;
@@ -179,6 +194,7 @@
 
 void site::start(site_gateway& gateway)
 {
+    leaving_.excuse(gateway.listen);
     gateway.process = std::make_unique<process::child_process>(
         "jujubevalve-gateway",
         std::vector<std::string>{
--- a/modules/standins/site/site.h
+++ b/modules/standins/site/site.h
@@ -4,6 +4,7 @@
 #include "standins/child_process.h"
 #include "standins/reserved_port.h"
 #include "standins/site/faulty_server.h"
+#include "standins/site/leaving_check.h"
 #include "standins/site/run_tracker.h"
 #include "standins/site/server_standin.h"
 #include "standins/site/store_standin.h"
@@ -84,6 +85,7 @@
 
     [[nodiscard]] store_standin& store() { return store_; }
     [[nodiscard]] run_tracker& book() { return tracker_; }
+    [[nodiscard]] leaving_check& leaving() { return leaving_; }
     [[nodiscard]] std::vector<site_gateway>& gateways() { return gateways_; }
     [[nodiscard]] std::vector<site_server>& servers() { return servers_; }
     [[nodiscard]] std::vector<std::unique_ptr<faulty_server>>& faulty_servers()
@@ -105,6 +107,8 @@
     /// Ends a server's process: resets its connections and refuses new ones until it is back.
     /// `what`: the request that did it, if one did.
     void crash(site_server& server, const std::string& what = {});
+    /// Ends the process of a server that leaves, and starts another one in its place.
+    void replace(site_server& server);
     /// Waits until all crashed servers are back.
     void wait_restarted();
     /// Returns the history of all requests since the block or the account was set.
@@ -132,6 +136,7 @@
     site_options options_;
     store_standin store_;
     run_tracker tracker_;
+    leaving_check leaving_;
     std::vector<site_server> servers_;
     std::vector<std::unique_ptr<faulty_server>> faulty_servers_;
     std::vector<reserved_port> reserved_ports_; ///< on which the gateways listen
--- a/modules/standins/site/site_caller.cpp
+++ b/modules/standins/site/site_caller.cpp
@@ -1,5 +1,6 @@
 #include "standins/site/site_caller.h"
 
+#include "core/clock.h"
 #include "core/digest.h"
 
 #include <nlohmann/json.hpp>
@@ -110,7 +111,9 @@
     }
     request.timeout = seconds(6);
     request.send_once = true;
+    note_sent(outcome.id, gateway);
     const auto reply = client_.perform(request);
+    note_leaving(gateway, header_of(reply, "server-leaving"), header_of(reply, "x-instance-id"));
     outcome.status = reply.error ? 0 : reply.status;
     outcome.complete = reply.ok();
     check_answer(reply, outcome.id, kind);
@@ -118,6 +121,19 @@
     return outcome;
 }
 
+void site_caller::note_sent(const std::string& id, const std::string& gateway)
+{
+    site_.leaving().sent(id, gateway, steady_clock_ms{}.now());
+}
+
+void site_caller::note_leaving(const std::string& gateway, std::string_view leaving,
+                               std::string_view server)
+{
+    if (!leaving.empty()) {
+        site_.leaving().answered(gateway, std::string{server}, steady_clock_ms{}.now());
+    }
+}
+
 void site_caller::record(const std::string& id, site_call kind, int status, bool complete)
 {
     const std::lock_guard lock{mutex_};
@@ -199,6 +215,9 @@
     for (const auto& what : site_.book().violations()) {
         violate(what);
     }
+    for (const auto& what : site_.leaving().violations()) {
+        violate(what);
+    }
 }
 
 std::vector<std::string> site_caller::violations() const
