Soak: answers of before a restart are not held against the new process

Cause: an answer that a caller reads while its gateway starts again was recorded for the new process, which could be blamed for it.

--- a/apps/soak/fault_plan.cpp
+++ b/apps/soak/fault_plan.cpp
@@ -277,7 +277,7 @@
     case 1:
         gateway.process->send(SIGSTOP);
         later(ms(draw(300, 5000)), [this, &gateway] {
-            site_.leaving().excuse(gateway.listen);
+            site_.leaving().excuse(gateway.listen, now());
             gateway.process->send(SIGCONT);
         });
         return "pause " + gateway.name;
--- a/modules/standins/site/kept_caller.cpp
+++ b/modules/standins/site/kept_caller.cpp
@@ -211,7 +211,7 @@
         const auto how =
             read_answer(connection.get(), leaves ? time_ms{draw(0, 80)} : answer_limit);
         check(id, kind, how);
-        record_.note_leaving(gateway, head_.headers.get("Server-Leaving"),
+        record_.note_leaving(id, head_.headers.get("Server-Leaving"),
                              head_.headers.get("X-Instance-Id"));
         const bool is_complete = how == outcome::answered;
         record_.record(id, kind, is_complete ? head_.status : 0,
--- a/modules/standins/site/leaving_check.h
+++ b/modules/standins/site/leaving_check.h
@@ -21,12 +21,12 @@
 
     /// Records that a caller sends a request to a gateway.
     void sent(const std::string& id, const std::string& gateway, time_ms now);
-    /// Records that a caller has got an answer through a gateway that says that its server leaves.
-    void answered(const std::string& gateway, const std::string& server, time_ms now);
+    /// Records that a caller has got an answer to its request that says that its server leaves.
+    void answered(const std::string& id, const std::string& server, time_ms now);
     /// Records that a request has arrived at a server, and whether that was too late.
     void arrived(const std::string& id, const std::string& server);
     /// Forgets what a gateway has passed on, as it starts again or was frozen.
-    void excuse(const std::string& gateway);
+    void excuse(const std::string& gateway, time_ms now);
 
     /// Number of answers so far after which a server must get nothing more.
     [[nodiscard]] std::size_t announcements() const;
@@ -42,6 +42,7 @@
     std::map<std::string, sent_request> sent_; ///< by request id
     /// When a gateway has first passed on that a server leaves.
     std::map<std::pair<std::string, std::string>, time_ms> passed_on_;
+    std::map<std::string, time_ms> excused_; ///< by gateway
     std::size_t announcements_{0};
     std::vector<std::string> violations_;
 };
--- a/modules/standins/site/site.cpp
+++ b/modules/standins/site/site.cpp
@@ -194,7 +194,7 @@
 
 void site::start(site_gateway& gateway)
 {
-    leaving_.excuse(gateway.listen);
+    leaving_.excuse(gateway.listen, steady_clock_ms{}.now());
     gateway.process = std::make_unique<process::child_process>(
         "jujubevalve-gateway",
         std::vector<std::string>{
--- a/modules/standins/site/site_caller.cpp
+++ b/modules/standins/site/site_caller.cpp
@@ -113,7 +113,7 @@
     request.send_once = true;
     note_sent(outcome.id, gateway);
     const auto reply = client_.perform(request);
-    note_leaving(gateway, header_of(reply, "server-leaving"), header_of(reply, "x-instance-id"));
+    note_leaving(outcome.id, header_of(reply, "server-leaving"), header_of(reply, "x-instance-id"));
     outcome.status = reply.error ? 0 : reply.status;
     outcome.complete = reply.ok();
     check_answer(reply, outcome.id, kind);
@@ -126,11 +126,11 @@
     site_.leaving().sent(id, gateway, steady_clock_ms{}.now());
 }
 
-void site_caller::note_leaving(const std::string& gateway, std::string_view leaving,
+void site_caller::note_leaving(const std::string& id, std::string_view leaving,
                                std::string_view server)
 {
     if (!leaving.empty()) {
-        site_.leaving().answered(gateway, std::string{server}, steady_clock_ms{}.now());
+        site_.leaving().answered(id, std::string{server}, steady_clock_ms{}.now());
     }
 }
 
--- a/modules/standins/site/site_caller.h
+++ b/modules/standins/site/site_caller.h
@@ -53,11 +53,10 @@
     /// For callers with connections of their own: returns the id of a new request, records what its
     /// caller got, and records a violation.
     std::string next_id();
-    /// The same: a request is sent, and an answer has these values of the headers `Server-Leaving`
-    /// and `X-Instance-Id`.
+    /// The same: a request is sent to a gateway, and its answer has these values of the headers
+    /// `Server-Leaving` and `X-Instance-Id`.
     void note_sent(const std::string& id, const std::string& gateway);
-    void note_leaving(const std::string& gateway, std::string_view leaving,
-                      std::string_view server);
+    void note_leaving(const std::string& id, std::string_view leaving, std::string_view server);
     void record(const std::string& id, site_call kind, int status, bool complete);
     void violate(const std::string& what);
 
