Soak: streams that are lost late, when their callers may have left

Cause: the faulty servers get few streams, as servers with the same prompts in their cache are preferred, so that callers that leave before the first event seldom met a server that closes without a byte. Change: the other engines lose streams late at times (late_loss); more of the kept callers leave.

--- a/apps/soak/fault_plan.cpp
+++ b/apps/soak/fault_plan.cpp
@@ -150,23 +150,27 @@
     return "requests that crash servers, ";
 }
 
-// At times streams begin so late that callers leave before the first event. Drawn apart, as
-// exclusion().
+// At times streams begin so late, or are lost so late, that callers leave before the first event.
+// Drawn apart, as exclusion().
 std::string fault_plan::slow_starts()
 {
     const auto draw_apart = [this](int low, int high) {
         return std::uniform_int_distribution<int>{low, high}(random_of_starts_);
     };
-    constexpr int steps_per_fault = 8;
+    constexpr int steps_per_fault = 4;
     const auto time = ms(draw_apart(1000, 8000));
     const int share = draw_apart(300, 1000);
-    if (site_.faulty_servers().empty() || draw_apart(1, steps_per_fault) > 1) {
+    if (draw_apart(1, steps_per_fault) > 1) {
         return {};
     }
     for (auto& server : site_.faulty_servers()) {
         server->slow_start = share;
         later(time, [&slow = *server] { slow.slow_start = 0; });
     }
+    auto& all = site_.servers();
+    auto& item = all[static_cast<std::size_t>(draw_apart(0, site_.options().engines - 1))];
+    item.server->late_loss = share;
+    later(time, [&item] { item.server->late_loss = 0; });
     return "slow starts, ";
 }
 
--- a/apps/soak/main.cpp
+++ b/apps/soak/main.cpp
@@ -99,7 +99,7 @@
     site::kept_caller_options options;
     options.expects_all = FLAGS_planned_only;
     options.http_1_0 = 200;
-    options.leaves = FLAGS_planned_only ? 0 : 80;
+    options.leaves = FLAGS_planned_only ? 0 : 250;
     options.short_limits = FLAGS_planned_only ? 0 : 100;
     options.requests = 12;
     site::kept_caller kept{caller, options, seed};
--- a/modules/standins/site/server_standin.cpp
+++ b/modules/standins/site/server_standin.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t endless_piece_bytes = 16 * 1024;
 /// From the arrival of a request that crashes the server to its end.
 constexpr int time_to_crash_ms = 40;
+/// From the arrival of a stream's request to the end of its connection, for a late loss.
+constexpr int late_loss_ms = 120;
 
 http_response cut()
 {
@@ -139,6 +141,10 @@
     if (draw(lose_answer)) {
         return cut();
     }
+    if (!usage.empty() && draw(late_loss)) {
+        pause(late_loss_ms);
+        return cut();
+    }
     if (draw(endless)) {
         http_response response{200, signed_headers, {}, {}, {}};
         response.headers["Content-Type"] = usage.empty() ? "text/plain" : "text/event-stream";
--- a/modules/standins/site/server_standin.h
+++ b/modules/standins/site/server_standin.h
@@ -38,6 +38,7 @@
     std::atomic<int> refuse{0};      ///< refused without running
     std::atomic<int> fail{0};        ///< fail with a signed error
     std::atomic<int> lose_answer{0}; ///< run, but the connection closes without a response
+    std::atomic<int> late_loss{0};   ///< streams that do so late, when callers may have left
     std::atomic<int> cut_stream{0};  ///< cut inside an event
     std::atomic<int> skip_event{0};  ///< leave out an event that follows others at once
     std::atomic<int> endless{0};     ///< run, but send bytes without end instead of a response
