Connections need not remember which start of a server they lead to

Cause: kept connections to a server from being used for a later start of it. A connection to an earlier start at the same address ends with that process, and connections to other addresses are never shared, so the rule decided nothing. Change: it goes, with http_exchange::opened_at() and server_state::known_since; the word is kept for the start that was known when the request was sent.

--- a/modules/dispatch/server_directory.cpp
+++ b/modules/dispatch/server_directory.cpp
@@ -68,7 +68,6 @@
     const bool restarted = registration.state && is_other_start(registration.state->entry, entry);
     if (!registration.state || restarted) {
         registration.state = std::make_shared<server_state>();
-        registration.state->known_since = now;
         registration.state->has_announced_end =
             announced_ends_.contains(server_key(entry.id, entry.incarnation));
         registration.sequence = 0;
@@ -81,6 +80,7 @@
         registration.state->entry.cold_until = known_cold_until;
     }
     registration.removed_at.reset();
+    (void)now;
 }
 
 void server_directory::remove(std::string_view id, time_ms now)
--- a/modules/dispatch/server_directory.h
+++ b/modules/dispatch/server_directory.h
@@ -30,7 +30,6 @@
 /// Registration and observed state of one server.
 struct server_state {
     server_entry entry;
-    time_ms known_since{};         ///< when this incarnation was read first
     bool has_announced_end{false}; ///< said in an answer that it leaves, whatever its entry says
     std::int64_t own_running{0};   ///< requests of this process that run or wait there
     token_count own_prefill_tokens{0}; ///< prompt tokens of these requests, not prefilled yet
--- a/modules/gateway/call.cpp
+++ b/modules/gateway/call.cpp
@@ -251,7 +251,7 @@
 
     connection_ = context_.connections.take(
         server_address_, may_run_again() ? max_idle_if_rerunnable : max_idle_if_not_rerunnable,
-        server.known_since, request_.id);
+        request_.id);
     sent_at_ = now;
     state_ = state_ == run_state::ran ? run_state::ran : run_state::sent;
     ++attempts_;
--- a/modules/gateway/server_connections.cpp
+++ b/modules/gateway/server_connections.cpp
@@ -33,11 +33,11 @@
 }
 
 std::unique_ptr<http_exchange> server_connections::take(const std::string& address,
-                                                        time_ms max_idle, time_ms opened_since,
+                                                        time_ms max_idle,
                                                         const std::string& request_id)
 {
     const auto key = hash64(request_id);
-    auto connection = take_idle(address, max_idle, opened_since, key);
+    auto connection = take_idle(address, max_idle, key);
     if (!connection) {
         ++opened_;
         // Detects a server that went away without a reset.
@@ -50,8 +50,7 @@
 
 // The connection used last first, so that the others reach their idle timeout.
 std::unique_ptr<http_exchange> server_connections::take_idle(const std::string& address,
-                                                             time_ms max_idle, time_ms opened_since,
-                                                             std::uint64_t key)
+                                                             time_ms max_idle, std::uint64_t key)
 {
     const auto found = idle_connections_.find(address);
     if (found == idle_connections_.end()) {
@@ -60,8 +59,8 @@
     auto& kept = found->second;
     for (auto i = kept.size(); i-- > 0;) {
         const auto limit = std::min(max_idle, idle_timeout(*kept[i]));
-        const bool is_usable = kept[i]->is_reusable() && kept[i]->opened_at() >= opened_since &&
-                               loop_.now() - kept[i]->idle_since() < limit;
+        const bool is_usable =
+            kept[i]->is_reusable() && loop_.now() - kept[i]->idle_since() < limit;
         if (is_usable && kept[i]->has_carried(key)) {
             continue;
         }
--- a/modules/gateway/server_connections.h
+++ b/modules/gateway/server_connections.h
@@ -21,9 +21,7 @@
     /// Returns a connection to the address: an idle one that has been idle for less than `max_idle`
     /// and that the server should still keep open, or a new one. Never one that has carried a
     /// request with the same id: a late copy of the response to that one has the same id, too.
-    /// Never one opened before `opened_since`: it led to an earlier server at the address.
     [[nodiscard]] std::unique_ptr<http_exchange> take(const std::string& address, time_ms max_idle,
-                                                      time_ms opened_since,
                                                       const std::string& request_id);
 
     /// Returns a connection to the pool. Closes it if it is not reusable or the pool is full.
@@ -36,8 +34,7 @@
 
 private:
     [[nodiscard]] std::unique_ptr<http_exchange> take_idle(const std::string& address,
-                                                           time_ms max_idle, time_ms opened_since,
-                                                           std::uint64_t key);
+                                                           time_ms max_idle, std::uint64_t key);
     [[nodiscard]] time_ms idle_timeout(const http_exchange& connection) const;
 
     event_loop& loop_;
--- a/modules/net/http_exchange.cpp
+++ b/modules/net/http_exchange.cpp
@@ -48,8 +48,7 @@
     : loop_{loop}
     , reader_{http_reader::kind::responses, max_response_head_bytes, *this}
     , stream_{loop, *this, address, limits}
-    , opened_at_{loop.now()}
-    , idle_since_{opened_at_}
+    , idle_since_{loop.now()}
 {
 }
 
--- a/modules/net/http_exchange.h
+++ b/modules/net/http_exchange.h
@@ -87,9 +87,6 @@
     /// Whether the TCP connection has been established.
     [[nodiscard]] bool is_connected() const { return stream_.is_connected(); }
 
-    /// Returns when this object was created, which opens the connection.
-    [[nodiscard]] time_ms opened_at() const { return opened_at_; }
-
     /// Returns when the last response ended, or, before the first, when this object was created.
     [[nodiscard]] time_ms idle_since() const { return idle_since_; }
 
@@ -117,7 +114,6 @@
     bool closed_cleanly_{false};
     int request_count_{0};
     std::vector<std::uint64_t> request_keys_; ///< of marked requests
-    time_ms opened_at_;
     time_ms idle_since_;
     time_ms peer_idle_limit_{};
 };
